--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -391,15 +391,10 @@
                         self.asked.add(hire.name)
                 elif hire.machines is not None:
                     for name in hire.machines:
-                        if name not in self.known and name not in self.returned:
-                            if ctx.wall - hire.at < 60.0 and self.lists < 3:
-                                self.known[name] = Known(
-                                    name,
-                                    build,
-                                    hire.zone,
-                                    pool.spot,
-                                    ctx.now - (ctx.wall - hire.at),
-                                )
+                        age = ctx.wall - hire.at
+                        if self.lists < 3 and age < 60.0 and name not in self.returned:
+                            known = Known(name, build, hire.zone, pool.spot, ctx.now - age)
+                            self.known.setdefault(name, known)
                     if ctx.wall - hire.at > 60.0:
                         self._hire_edit(pool, hire.name, None)
         live = {
--- a/coursefold/protocol/wire.py
+++ b/coursefold/protocol/wire.py
@@ -14,7 +14,7 @@
 from coursefold.protocol.ids import is_job_id
 
 BODY_LIMIT = 64 * 1024
-U64 = Annotated[int, Meta(ge=0, lt=2**63)]
+U64 = Annotated[int, Meta(ge=0)]  # MessagePack itself ends below 2**64
 Amount = Annotated[float, Meta(ge=0, le=1e12)]
 Text = Annotated[str, Meta(min_length=1, max_length=180)]
 Rank = Literal["prod", "urgent", "normal", "idle"]
