Owners that return do not give up machines heard by their stand-in; failing machines avoided

A replica was placed again and again on a machine that fails everything. Work that may use spot machines sat on ordinary ones and was stopped and restarted there. A gang whose images took over gang_wait_s apart lost its attempt.

--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -47,7 +47,7 @@
     """A worker in a sibling's part, as its summary shows it."""
 
     __slots__ = (
-        "build", "draining", "id", "idle", "idle_s", "images", "lent", "session", "sick",
+        "build", "draining", "id", "idle", "idle_s", "images", "lent", "lost", "session", "sick",
         "silent_s", "spot", "zone",
     )  # fmt: skip
 
@@ -56,7 +56,7 @@
     ) -> None:
         self.id, self.build, self.zone, self.spot = id, build, zone, spot
         self.session, self.silent_s = session, silent_s
-        self.draining = self.sick = self.lent = self.idle = False
+        self.draining = self.sick = self.lent = self.idle = self.lost = False
         self.idle_s = 0.0
         self.images: frozenset[str] = frozenset()
 
@@ -176,6 +176,7 @@
                 if (
                     kind is None
                     or pm.sick
+                    or pm.lost
                     or pm.silent_s + (self.now - peer.at) > self.alive_within()
                     or owner(pm.id, pm.zone, roster) != peer.member
                 ):
--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -15,6 +15,7 @@
 from coursefold.protocol.wire import Catalog, Job, MachineType
 
 WINDOW_S = 60.0
+ARRIVALS_S = 150.0
 HISTORY_S = 1800.0
 DEFAULT_RUN_S = 60.0
 
@@ -92,7 +93,7 @@
 
     def target(self, eta: float) -> float:
         """c*: the optimum of cost against wait, and the raises."""
-        rate = self.arrivals / WINDOW_S
+        rate = self.arrivals / ARRIVALS_S
         base = float(optimum(rate, 1 / self.mean_run, self.price, eta)) if rate else 0.0
         clear = min(self.backlog, self.backlog * self.mean_run / WINDOW_S)
         return max(base + self.service, self.busy + self.queued + max(clear, self.gang))
@@ -153,7 +154,7 @@
             w = weight(spec, demand.kind)
             take = left
             if not self.open_zones(pool, spec) and at + 1 < len(choices):
-                able = demand.machines * demand.k * WINDOW_S / max(run, 1.0)
+                able = demand.machines * demand.k * ARRIVALS_S / max(run, 1.0)
                 take = min(left, max(0.0, able - demand.arrivals) / w)
             demand.arrivals += take * w
             demand.work += take * w * run
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -16,7 +16,7 @@
 
 from coursefold.coordination import jobs
 from coursefold.coordination.context import DRIFT, Context
-from coursefold.coordination.demand import WINDOW_S, Need, Planner, PoolId, Runs
+from coursefold.coordination.demand import ARRIVALS_S, Need, Planner, PoolId, Runs
 from coursefold.coordination.effects import CloudCall
 from coursefold.coordination.leader import Leader
 from coursefold.coordination.parts import owner as owner_of
@@ -270,9 +270,9 @@
         ctx = self.ctx
         roster = ctx.view.roster
         assert roster is not None
-        seen: dict[str, tuple[float, bool]] = {}
+        seen: dict[str, tuple[float, bool, bool]] = {}
         for m in ctx.machines.values():
-            seen[m.id] = (ctx.now - m.heard, m.sick)
+            seen[m.id] = (ctx.now - m.heard, m.sick, m.lost)
             self._adopt(m.id, m.build, m.zone, m.spot)
         fresh = {ctx.me}
         for peer in ctx.peers.values():
@@ -281,7 +281,7 @@
             fresh.add(peer.member)  # type: ignore[arg-type]
             for pm in peer.machines.values():
                 if pm.id not in seen:
-                    seen[pm.id] = (pm.silent_s + ctx.now - peer.at, pm.sick)
+                    seen[pm.id] = (pm.silent_s + ctx.now - peer.at, pm.sick, pm.lost)
                     self._adopt(pm.id, pm.build, pm.zone, pm.spot)
         lease = ctx.settings.params.workers.lease_s
         settled = ctx.now - ctx.token_since > lease * DRIFT + 4.0
@@ -292,9 +292,9 @@
             boot = kind.boot if kind else 60.0
             age = ctx.now - known.hired_at
             if known.id in seen:
-                known.silent_s, sick = seen[known.id]
+                known.silent_s, sick, lost = seen[known.id]
                 known.up = True
-                if known.silent_s > lease * DRIFT + 1.0:
+                if lost:
                     self._give_up(known, "silent")
                 elif sick:
                     self._give_up(known, "sick")
@@ -314,7 +314,9 @@
         if id not in self.known and id not in self.returned:
             self.known[id] = Known(id, build, zone, spot, self.ctx.now - 60.0)
 
-    def _orphans(self, seen: dict[str, tuple[float, bool]], fresh: set[Any], settled: bool) -> None:
+    def _orphans(
+        self, seen: dict[str, tuple[float, bool, bool]], fresh: set[Any], settled: bool
+    ) -> None:
         """Places on machines that nobody hears and no list shows: prove them gone."""
         ctx = self.ctx
         roster = ctx.view.roster
@@ -338,7 +340,8 @@
         if known.id not in self.returning:
             log.info("machine %s given up: %s", known.id, why)
             self.returning[known.id] = why
-            if known.up:
+            # What is silent when a reign begins was lost, or returned, before it.
+            if known.up and self.ctx.now - self.ctx.token_since > 10.0:
                 self.losses.setdefault(known.pool, Losses()).lost(self.ctx.now)
 
     def _lose(self, known: Known) -> None:
@@ -427,10 +430,10 @@
         teams = ctx.settings.params.teams
         quota = Quota(teams, ctx.view.jobs.values())
         for name, job in ctx.view.jobs.items():
-            if name not in self.arrivals and ctx.wall - job.at < WINDOW_S:
+            if name not in self.arrivals and ctx.wall - job.at < ARRIVALS_S:
                 self.arrivals[name] = (job.at, job.spec)
         for seen, (at, spec) in list(self.arrivals.items()):
-            if ctx.wall - at > WINDOW_S:
+            if ctx.wall - at > ARRIVALS_S:
                 del self.arrivals[seen]
             else:
                 planner.arrived(spec, min(spec.tasks, 200))
--- a/coursefold/coordination/jobs.py
+++ b/coursefold/coordination/jobs.py
@@ -192,13 +192,15 @@
     def change(record: Struct | None) -> Result:
         job = _job(record)
         errors = job.errors + 1
-        pause = min(60.0, 1.0 * 2 ** min(errors - 1, 6))
+        pause = min(60.0, 0.5 * 2 ** min(errors - 1, 7))
         return settle(
             msgspec.structs.replace(
                 job,
                 entries=_without(job, index, machine, attempt),
                 errors=errors,
                 retry_at=wall + pause,
+                # Tried elsewhere next: that tells a faulty machine from a faulty job.
+                failed_on=[*(m for m in job.failed_on if m != machine), machine][-4:],
             )
         )
 
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -16,7 +16,7 @@
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import RANKS
 from coursefold.storage.queue import Edit
-from coursefold.storage.records import DEALT, LIVE, JobRecord, job_key
+from coursefold.storage.records import DEALT, LIVE, PLACED, JobRecord, job_key
 
 log = logging.getLogger(__name__)
 
@@ -44,7 +44,7 @@
         self.ctx, self.owner = ctx, owner
         self.wanted: dict[str, float] = {}
         self.reasons: dict[JobId, str] = {}
-        self.first_seen: dict[JobId, float] = {}
+        self.told: dict[JobId, str] = {}
         self.preemption = preemption.Preemption(ctx)
 
     def most_entries(self) -> int:
@@ -80,13 +80,40 @@
             if job is not None and not any(e.index == index for e in job.entries):
                 quota.take(spec, 1)
         rooms = ctx.rooms()
-        for wait in self.queue(quota):
-            if wait.job.spec.shape == "ensemble" and wait.job.spec.tasks > 1:
-                self._gang(wait, rooms, quota)
-            else:
-                self._tasks(wait, rooms, quota)
+        queue = self.queue(quota)
+        # Ordinary machines first to those that may use no others: a task that may run
+        # on spot machines would sit where a gang or replica could be, and be stopped.
+        short = False
+        for wait in queue:
+            if not wait.job.spec.spot:
+                short |= not self._serve(wait, rooms, quota)
+        if short:
+            rooms = [r for r in rooms if r.spot]
+        for wait in queue:
+            if wait.job.spec.spot:
+                self._serve(wait, rooms, quota)
         for machine in [m for m, until in self.wanted.items() if until < ctx.now]:
             del self.wanted[machine]
+        self._tell_reasons()
+
+    def _serve(self, wait: Waiting, rooms: list[Room], quota: Quota) -> bool:
+        """Place what can be; False if the job still waits for room."""
+        if wait.job.spec.shape == "ensemble" and wait.job.spec.tasks > 1:
+            self._gang(wait, rooms, quota)
+        else:
+            self._tasks(wait, rooms, quota)
+        return "room" not in self.reasons.get(wait.name, "")
+
+    def _tell_reasons(self) -> None:
+        """Log why a job waits, once it has waited a while and whenever the reason changes."""
+        ctx = self.ctx
+        for name, why in self.reasons.items():
+            job = ctx.view.jobs.get(name)
+            if job and ctx.wall - job.at > 5.0 and self.told.get(name) != why:
+                log.info("%s waits: %s", name, why)
+                self.told[name] = why
+        for name in [n for n in self.told if n not in ctx.view.jobs]:
+            del self.told[name]
 
     def _undeal_lost(self) -> None:
         """Deals to owners that are no longer members go back into the queue."""
@@ -125,7 +152,7 @@
             if not quota.fits(job.spec, 1):
                 self.reasons[name] = quota.why_not(job.spec)
                 return
-            room = choose(job.spec, rooms, zones)
+            room = choose(job.spec, rooms, zones, avoid=job.failed_on)
             if room is None:
                 self.reasons[name] = "waiting for room on a machine"
                 self.preemption.consider(wait.name, job, index, rooms, wait.within, quota)
@@ -163,6 +190,7 @@
         name, job = wait.name, wait.job
         if job.entries:
             self.reasons[name] = "waiting for the former attempt's tasks to be gone"
+            self._end_attempt(name, job)
             return
         if ctx.queue.busy(job_key(name)):
             return
@@ -208,6 +236,19 @@
         if not ctx.queue.propose(edit):
             settled(False, "under way")
 
+    def _end_attempt(self, name: JobId, job: JobRecord) -> None:
+        """A gang that lost a task: stop the rest, for the next attempt needs them all gone."""
+        attempt = job.entries[0].attempt
+        if any(e.stage == PLACED for e in job.entries):
+            self.ctx.queue.propose(
+                Edit(
+                    job_key(name),
+                    jobs.stopping(None, attempt),
+                    fence=self.ctx.view.token,
+                    tag=f"end{attempt}",
+                )
+            )
+
     def _want(self, room: Room) -> None:
         if room.id not in self.wanted:
             self.ctx.tell = True
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -31,6 +31,12 @@
 log = logging.getLogger(__name__)
 
 
+# Exits after which the task is forgotten and started again in its place. `busy`: an
+# older attempt was still there. `incomplete`: the gang's other images took longer
+# than `gang_wait_s`; the image is here now, and the attempt is not lost by it.
+AGAIN = frozenset({"busy", "incomplete"})
+
+
 class Owner:
     """Acts for the machines whose hash falls to this node."""
 
@@ -160,7 +166,7 @@
             entry = entries.get(place)
             known = entry is not None and entry.attempt == item.attempt
             if item.state == "exited":
-                if known and entry is not None and item.cause != "busy":
+                if known and entry is not None and item.cause not in AGAIN:
                     self._exited(m, JobId(place[0]), entry, item)
                 else:
                     forgets.append(Order("forget", item.task, item.attempt))
@@ -194,7 +200,9 @@
         if entry.session < r.session:
             self._edit(job_id, jobs.gone(entry.index, m.id, entry.attempt), f"gone{entry.index}")
             return
-        if listed is not None and (listed.attempt == entry.attempt or listed.state != "exited"):
+        if listed is not None and listed.state != "exited":
+            return
+        if listed is not None and listed.attempt == entry.attempt and listed.cause not in AGAIN:
             return
         job = ctx.view.jobs[job_id]
         key = (job_id, entry.index, entry.attempt)
@@ -281,7 +289,9 @@
             if not ctx.owns(m.id, m.zone):
                 del ctx.machines[m.id]
                 continue
-            quiet = ctx.now - max(m.heard, m.answered)
+            # Counted from the roster's change: an owner that was cut off and comes
+            # back has not heard what its stand-in heard, and must not give it up.
+            quiet = ctx.now - max(m.heard, m.answered, ctx.token_since)
             if quiet > lease * DRIFT + 0.5 and not m.lost:
                 m.lost = True
                 ctx.tell = True
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -1,6 +1,6 @@
 """Where a task may run, and which of those places is best."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from coursefold.protocol.wire import Job, MachineType
 
@@ -113,7 +113,7 @@
     Work that may run on spot machines leaves ordinary ones to work that may not;
     a tight fit empties other machines, which can then be returned.
     """
-    wasteful = 15.0 if spec.spot and not room.spot else 0.0
+    wasteful = 40.0 if spec.spot and not room.spot else 0.0
     return (fetch_time(spec, room) + wasteful, room.left, room.id)
 
 
@@ -123,11 +123,20 @@
 
 
 def choose(
-    spec: Job, rooms: Iterable[Room], zones: dict[str, int] | None = None, zone: str = ""
+    spec: Job,
+    rooms: Iterable[Room],
+    zones: dict[str, int] | None = None,
+    zone: str = "",
+    avoid: Collection[str] = (),
 ) -> Room | None:
-    """The best room for one task; `zones` counts the job's other tasks by zone."""
+    """The best room for one task.
+
+    `zones` counts the job's other tasks by zone; `avoid` names machines on which
+    it failed, taken only where nothing else is left.
+    """
     limit = zone_limit(spec)
     best: Room | None = None
+    shunned: Room | None = None
     for room in rooms:
         if room.lent or room.draining or not allowed(spec, room) or not room.holds(spec):
             continue
@@ -138,6 +147,8 @@
                 continue
             if limit is not None and zones.get(room.zone, 0) >= limit:
                 continue
-        if best is None or cost(spec, room) < cost(spec, best):
+        if room.id in avoid:
+            shunned = shunned or room
+        elif best is None or cost(spec, room) < cost(spec, best):
             best = room
-    return best
+    return best or shunned
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -39,6 +39,7 @@
                 silent_s=max(0.0, ctx.now - m.heard),
                 draining=m.recall_at is not None,
                 sick=m.sick,
+                lost=m.lost,
                 lent=m.lent_until > ctx.now,
                 images=list(m.images),
                 idle=idle,
@@ -74,7 +75,7 @@
         machine = PeerMachine(
             item.id, item.build, item.zone, item.spot, item.session, item.silent_s
         )
-        machine.draining, machine.sick = item.draining, item.sick
+        machine.draining, machine.sick, machine.lost = item.draining, item.sick, item.lost
         machine.lent, machine.idle, machine.idle_s = item.lent, item.idle, item.idle_s
         machine.images = frozenset(item.images)
         view.machines[item.id] = machine
--- a/coursefold/storage/records.py
+++ b/coursefold/storage/records.py
@@ -86,6 +86,7 @@
     done: list[tuple[int, int]] = []
     errors: int = 0
     retry_at: float = 0.0
+    failed_on: list[str] = []
 
     @property
     def done_count(self) -> int:
@@ -186,6 +187,7 @@
     done: list[tuple[int, int]]
     errors: int = 0
     retry_at: float = 0.0
+    failed_on: list[str] = []
 
 
 def _plain(job: Job) -> _Spec:
