--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -89,7 +89,7 @@
         self.refusals: dict[tuple[str, str, bool], int] = {}
         self.losses: dict[PoolId, Losses] = {}
         self.errors: dict[PoolId, tuple[float, float]] = {}
-        self.runs = Runs()
+        self.runs = self.leader.runs = Runs()
         self.arrivals: dict[str, tuple[float, Job]] = {}
         self.asked: set[str] = set()
         self.calls.clear()
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -10,11 +10,12 @@
 
 from coursefold.coordination import gangs, jobs, preemption
 from coursefold.coordination.context import Context
+from coursefold.coordination.demand import Runs
+from coursefold.coordination.ordering import Order, Ordering
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import Room, choose
 from coursefold.coordination.quota import Quota
 from coursefold.protocol.ids import JobId
-from coursefold.protocol.wire import RANKS
 from coursefold.storage.queue import Edit
 from coursefold.storage.records import DEALT, LIVE, PLACED, JobRecord, job_key
 
@@ -29,12 +30,8 @@
 
     __slots__ = ("job", "name", "order", "within")
 
-    def __init__(self, name: JobId, job: JobRecord, within: bool) -> None:
-        self.name, self.job, self.within = name, job, within
-        rank = RANKS[job.spec.rank]
-        due = job.at + job.spec.due if job.spec.due is not None else float("inf")
-        slack = due - job.spec.estimate if job.spec.due is not None else job.at + 3600.0
-        self.order = (0 if rank == 0 else 1 if within else 2, rank, slack, job.at, name)
+    def __init__(self, name: JobId, job: JobRecord, within: bool, order: Order) -> None:
+        self.name, self.job, self.within, self.order = name, job, within, order
 
 
 class Leader:
@@ -45,6 +42,8 @@
         self.wanted: dict[str, float] = {}
         self.reasons: dict[JobId, str] = {}
         self.told: dict[JobId, str] = {}
+        self.runs = Runs()
+        self.ordering = Ordering(ctx.settings.params.objectives)
         self.preemption = preemption.Preemption(ctx)
 
     def most_entries(self) -> int:
@@ -63,7 +62,10 @@
                 self.reasons[name] = "its tasks failed; it is tried again later"
                 continue
             tasks = job.spec.tasks if job.spec.shape != "array" else 1
-            found.append(Waiting(name, job, quota.within_guarantee(job.spec, tasks)))
+            within = quota.within_guarantee(job.spec, tasks)
+            run = self.runs.mean(job.spec, ctx.now)
+            order = self.ordering.key(job.spec, name, ctx.wall - job.at, run, within)
+            found.append(Waiting(name, job, within, order))
         found.sort(key=lambda w: w.order)
         return found
 
--- /dev/null
+++ b/coursefold/coordination/ordering.py
@@ -0,0 +1,55 @@
+"""The order of the queue: rank, guarantees, and what can still meet its aim.
+
+Each class's objectives and each job's deadline give latest start times. A job
+that can still meet one goes before a job that is late for all of them, and a
+small gang before a large one: when there is room for either, more users are
+served in time. What has waited very long comes first again, so that nothing
+starves.
+"""
+
+from coursefold.protocol.wire import RANKS, Job
+from coursefold.settings import Objective
+
+STARVED_S = 600.0
+
+Order = tuple[int, int, bool, int, float, float, str]
+
+
+class Ordering:
+    """Latest starts by the settings' objectives."""
+
+    def __init__(self, objectives: list[Objective]) -> None:
+        self.waits: dict[str, list[float]] = {}
+        self.finishes: dict[str, list[float]] = {}
+        self.guarantees: list[float] = []
+        for aim in objectives:
+            if aim.within_s <= 0:
+                continue
+            if aim.kind == "wait":
+                self.waits.setdefault(aim.lane, []).append(aim.within_s)
+            elif aim.kind == "finished":
+                self.finishes.setdefault(aim.lane, []).append(aim.within_s)
+            elif aim.kind == "guarantee":
+                self.guarantees.append(aim.within_s)
+
+    def latest_starts(self, spec: Job, run: float, within: bool) -> list[float]:
+        """Seconds after submission by which the job must start for each of its aims."""
+        starts = list(self.waits.get(spec.lane, []))
+        starts += [within_s - run for within_s in self.finishes.get(spec.lane, [])]
+        if spec.due is not None:
+            starts.append(spec.due - run)
+        if within:
+            starts += self.guarantees
+        return sorted(starts)
+
+    def key(self, spec: Job, name: str, age: float, run: float, within: bool) -> Order:
+        """Sort key, smaller first."""
+        rank = RANKS[spec.rank]
+        group = 0 if rank == 0 else 1 if within else 2
+        if age > STARVED_S:
+            group = min(group, 1)
+        starts = self.latest_starts(spec, run, within)
+        ahead = [s - age for s in starts if s > age]
+        late = bool(starts) and not ahead
+        size = spec.tasks if spec.shape == "ensemble" and age <= STARVED_S else 0
+        return (group, rank, late, size, ahead[0] if ahead else 0.0, -age, name)
