--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -58,11 +58,12 @@
 
 
 class Need(NamedTuple):
-    """Unplaced tasks of one job."""
+    """Unplaced tasks of one job, and the seconds they may still wait for their aims."""
 
     spec: Job
     tasks: int
     zones: dict[str, int]
+    slack: float = 0.0
 
 
 class PoolDemand:
@@ -74,6 +75,9 @@
         self.arrivals = 0.0
         self.work = 0.0
         self.busy = 0.0
+        self.batch = 0.0
+        self.batch_work = 0.0
+        self.promised = 0.0
         self.service = 0.0
         self.queued = 0.0
         self.backlog = 0.0
@@ -87,6 +91,11 @@
         """Per slot and second."""
         return (self.kind.spot_price if self.spot else self.kind.price) / 3600.0 / self.k
 
+    @property
+    def mean_busy(self) -> float:
+        """Mean time of the tasks in place."""
+        return self.batch_work / self.batch if self.batch else DEFAULT_RUN_S
+
     @property
     def mean_run(self) -> float:
         return self.work / self.arrivals if self.arrivals else DEFAULT_RUN_S
@@ -95,8 +104,7 @@
         """c*: the optimum of cost against wait, and the raises."""
         rate = self.arrivals / ARRIVALS_S
         base = float(optimum(rate, 1 / self.mean_run, self.price, eta)) if rate else 0.0
-        clear = min(self.backlog, self.backlog * self.mean_run / WINDOW_S)
-        return max(base + self.service, self.busy + self.queued + max(clear, self.gang))
+        return max(base + self.service, self.busy + self.queued + max(self.backlog, self.gang))
 
 
 def effective_price(spec: Job, kind: MachineType, spot: bool, run: float, loss: float) -> float:
@@ -170,6 +178,9 @@
         demand.busy += w
         if spec.shape == "standing":
             demand.service += w
+        else:
+            demand.batch += w
+            demand.batch_work += w * self.runs.mean(spec, self.now)
 
     def pack(self, needs: Iterable[Need], rooms: list[Room]) -> None:
         """Waiting tasks take the free and the booting room first; the rest asks for more."""
@@ -182,12 +193,36 @@
             for done in range(need.tasks):
                 room = choose(spec, rooms, zones)
                 if room is None:
-                    self._grow(spec, need.tasks - done, zones)
+                    left = need.tasks - done
+                    left -= self._relieved(need, left)
+                    if left > 0:
+                        self._grow(spec, left, zones)
                     break
                 room.take(spec)
                 zones[room.zone] = zones.get(room.zone, 0) + 1
                 self._queue(spec, PoolId(room.kind.name, room.spot))
 
+    def _relieved(self, need: Need, tasks: int) -> int:
+        """Waiting tasks that busy slots will have room for in time anyway.
+
+        "In time" is one window, or what the job's aims leave; but never less than
+        a new machine takes to boot, for that could not help sooner.
+        """
+        spec = need.spec
+        if spec.shape == "standing":
+            return 0
+        found = 0
+        for pool in self.choices(spec):
+            demand = self.pools[pool]
+            horizon = max(demand.kind.boot, min(need.slack, WINDOW_S))
+            w = weight(spec, demand.kind)
+            freed = demand.batch * min(1.0, horizon / max(demand.mean_busy, 1.0))
+            take = min(tasks - found, int((freed - demand.promised) / w))
+            if take > 0:
+                demand.promised += take * w
+                found += take
+        return found
+
     def _queue(self, spec: Job, pool: PoolId) -> None:
         demand = self.pools[pool]
         w = weight(spec, demand.kind)
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -353,7 +353,7 @@
 
     def _send_returns(self) -> None:
         ready = [
-            name for name, why in self.returning.items() if why != "spare" or self._lent(name)
+            name for name, why in list(self.returning.items()) if why != "spare" or self._lent(name)
         ][:100]
         if ready:
             self._call("return", {"Boxes": ready}, ready)
@@ -449,7 +449,7 @@
             zones: dict[str, int] = {}
             for e in wait.job.entries:
                 zones[e.zone] = zones.get(e.zone, 0) + 1
-            needs.append(Need(spec, count, zones))
+            needs.append(Need(spec, count, zones, wait.slack))
         for machine, entries in ctx.view.by_machine().items():
             known = self.known.get(machine)
             if known is not None:
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -28,10 +28,11 @@
 class Waiting:
     """A job with tasks to deal, in queue order."""
 
-    __slots__ = ("job", "name", "order", "within")
+    __slots__ = ("job", "name", "order", "slack", "within")
 
     def __init__(self, name: JobId, job: JobRecord, within: bool, order: Order) -> None:
         self.name, self.job, self.within, self.order = name, job, within, order
+        self.slack = order.slack
 
 
 class Leader:
--- a/coursefold/coordination/ordering.py
+++ b/coursefold/coordination/ordering.py
@@ -7,12 +7,24 @@
 starves.
 """
 
+from typing import NamedTuple
+
 from coursefold.protocol.wire import RANKS, Job
 from coursefold.settings import Objective
 
 STARVED_S = 600.0
 
-Order = tuple[int, int, bool, int, float, float, str]
+
+class Order(NamedTuple):
+    """A place in the queue; compared field by field, smaller first."""
+
+    group: int
+    rank: int
+    late: bool
+    size: int
+    slack: float
+    age: float
+    name: str
 
 
 class Ordering:
@@ -52,4 +64,4 @@
         ahead = [s - age for s in starts if s > age]
         late = bool(starts) and not ahead
         size = spec.tasks if spec.shape == "ensemble" and age <= STARVED_S else 0
-        return (group, rank, late, size, ahead[0] if ahead else 0.0, -age, name)
+        return Order(group, rank, late, size, ahead[0] if ahead else 0.0, -age, name)
