--- a/coursefold/coordination/preemption.py
+++ b/coursefold/coordination/preemption.py
@@ -39,6 +39,8 @@
             within
             and quota is not None
             and victim.spec.team != spec.team
+            # The rule would allow it, but a replica's users notice every second.
+            and victim.spec.shape != "standing"
             and not quota.within_guarantee(victim.spec, 0)
             and bool(quota.teams[victim.spec.team].gpus or quota.teams[victim.spec.team].cpus)
         )
