--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -112,7 +112,7 @@
     hourly = kind.spot_price if spot else kind.price
     fetch = spec.image_gb / kind.fetch if kind.fetch else 0.0
     lost = loss * (min(spec.checkpoint, run) if spec.checkpoint else run)
-    overhead = 1.0 + (0.5 * fetch + 0.2 * kind.boot) / max(run, 10.0) + lost
+    overhead = 1.0 + (fetch + 0.3 * kind.boot) / max(run, 10.0) + lost
     return hourly * share(spec, kind) * overhead
 
 
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -111,10 +111,15 @@
     """Less is better: an early start first, then cheap room, then a tight fit.
 
     Work that may run on spot machines leaves ordinary ones to work that may not;
-    a tight fit empties other machines, which can then be returned.
+    a task leaves a machine alone of which it would waste much for its price; a
+    replica, which stays, leaves large machines to what comes and goes; a tight
+    fit empties other machines, which can then be returned.
     """
+    part = share(spec, room.kind)
     wasteful = 40.0 if spec.spot and not room.spot else 0.0
-    return (fetch_time(spec, room) + wasteful, room.left, room.id)
+    hourly = (room.kind.spot_price if room.spot else room.kind.price) * part
+    pinned = 40.0 * (1.0 - part) if spec.shape == "standing" else 0.0
+    return (fetch_time(spec, room) + wasteful + 5.0 * hourly + pinned, room.left, room.id)
 
 
 def zone_limit(spec: Job) -> int | None:
