--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -26,7 +26,6 @@
         self.answered = Moment(0.0)
         self.recall_at: float | None = None
         self.tasks: dict[tuple[str, int], TaskReport] = {}
-        self.sent: dict[tuple[str, int, int], int] = {}
         self.running: dict[tuple[str, int, int], float] = {}
         self.images: dict[str, float] = {}
         self.failures: list[str] = []
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -129,7 +129,6 @@
         """Note what the report shows."""
         ctx = self.ctx
         if r.session != m.session:
-            m.sent.clear()
             m.running.clear()
             m.images.clear() if m.session == 0 else None
         m.session, m.counter, m.token = r.session, r.counter, r.token
@@ -170,7 +169,6 @@
                     self._exited(m, JobId(place[0]), entry, item)
                 else:
                     forgets.append(Order("forget", item.task, item.attempt))
-                    m.sent.pop((*place, item.attempt), None)
                 continue
             if not known or entry is None:
                 stops.append(Order("stop", item.task, item.attempt, 0.0))
@@ -205,15 +203,13 @@
         if listed is not None and listed.attempt == entry.attempt and listed.cause not in AGAIN:
             return
         job = ctx.view.jobs[job_id]
-        key = (job_id, entry.index, entry.attempt)
         if job.status == LIVE and entry.stage == PLACED:
-            m.sent[key] = r.counter
             runs.append(Order("run", f"{job_id}/{entry.index}", entry.attempt))
             return
-        # Proof of absence. Only under our own token: a former owner's `run` could
-        # still be on its way to a worker that has not seen it. And only in a later
-        # report than the one whose answer carried our own `run`.
-        if r.token == ctx.view.token and m.sent.get(key, -1) < r.counter:
+        # Proof of absence. A worker has one report in flight, so this one, newer than
+        # any we answered, shows what came of our own `run`. Only under our own token:
+        # a former owner's `run` could still be on its way to a worker without it.
+        if r.token == ctx.view.token:
             self._edit(job_id, jobs.gone(entry.index, m.id, entry.attempt), f"gone{entry.index}")
 
     def _drain(self, m: Machine, job_id: JobId, job: JobRecord, entry: Entry) -> None:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -153,3 +154,18 @@
         assert str(why) == "done"
     else:
         raise AssertionError("a task that is done was placed again")
+
+
+def test_a_gang_starts_anew_only_when_its_old_places_are_gone() -> None:
+    spec = decode(encode(JOB | {"NameId": "job-1", "Shape": "ensemble", "Pieces": 2}), Job)
+    places = [("n0", "a", "i-1", 1), ("n0", "a", "i-2", 1)]
+    first = jobs.place_gang(places)(JobRecord(spec, 0.0))
+    assert isinstance(first, JobRecord)
+    assert [e.attempt for e in first.entries] == [1, 1]
+    half = jobs.gone(0, "i-1", 1)(first)
+    with pytest.raises(Void):
+        jobs.place_gang(places)(half if isinstance(half, JobRecord) else None)
+    rest = jobs.gone(1, "i-2", 1)(half if isinstance(half, JobRecord) else None)
+    again = jobs.place_gang(places)(rest if isinstance(rest, JobRecord) else None)
+    assert isinstance(again, JobRecord)
+    assert [e.attempt for e in again.entries] == [2, 2]
