--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -36,6 +36,7 @@
 CATALOG_S = 45.0
 IDLE_S = 20.0
 BLOCK_S = 12.0
+SILENT_S = 45.0
 ETA = 0.0005
 
 
@@ -43,7 +44,8 @@
     """A machine that the leader believes to exist."""
 
     __slots__ = (
-        "build", "hired_at", "id", "listed_at", "silent_s", "spot", "status", "up", "zone",
+        "build", "hired_at", "id", "listed_at", "lost", "silent_s", "spot", "status", "up",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, id: str, build: str, zone: str, spot: bool, hired_at: float) -> None:
@@ -52,6 +54,7 @@
         self.listed_at = 0.0
         self.status = "starting"
         self.up = False
+        self.lost = False
         self.silent_s = 0.0
 
     @property
@@ -273,7 +276,8 @@
         seen: dict[str, tuple[float, bool, bool]] = {}
         for m in ctx.machines.values():
             seen[m.id] = (ctx.now - m.heard, m.sick, m.lost)
-            self._adopt(m.id, m.build, m.zone, m.spot)
+            if not m.lost:
+                self._adopt(m.id, m.build, m.zone, m.spot)
         fresh = {ctx.me}
         for peer in ctx.peers.values():
             if ctx.now - peer.at > 3.0 or peer.token != ctx.view.token:
@@ -282,7 +286,8 @@
             for pm in peer.machines.values():
                 if pm.id not in seen:
                     seen[pm.id] = (pm.silent_s + ctx.now - peer.at, pm.sick, pm.lost)
-                    self._adopt(pm.id, pm.build, pm.zone, pm.spot)
+                    if not pm.lost:
+                        self._adopt(pm.id, pm.build, pm.zone, pm.spot)
         lease = ctx.settings.params.workers.lease_s
         settled = ctx.now - ctx.token_since > lease * DRIFT + 4.0
         for known in list(self.known.values()):
@@ -294,8 +299,11 @@
             if known.id in seen:
                 known.silent_s, sick, lost = seen[known.id]
                 known.up = True
+                if lost != known.lost:
+                    known.lost = lost
+                    self._count_loss(known, lost)
                 if lost:
-                    self._give_up(known, "silent")
+                    self._silent(known)
                 elif sick:
                     self._give_up(known, "sick")
             elif known.status == "failed":
@@ -340,14 +348,30 @@
         if known.id not in self.returning:
             log.info("machine %s given up: %s", known.id, why)
             self.returning[known.id] = why
-            # What is silent when a reign begins was lost, or returned, before it.
-            if known.up and self.ctx.now - self.ctx.token_since > 10.0:
-                self.losses.setdefault(known.pool, Losses()).lost(self.ctx.now)
+
+    def _silent(self, known: Known) -> None:
+        """A machine whose lease is over. Its tasks are gone; the machine may not be.
+
+        Seen: a dozen machines were cut off for a while, returned, and rented and
+        booted again while the old ones would have been back. A dead machine stays
+        in the list for half a minute and costs nothing; so the return waits, unless
+        it is needed as proof that tasks are gone.
+        """
+        ctx = self.ctx
+        lease = ctx.settings.params.workers.lease_s
+        if known.silent_s > lease * DRIFT + 3.0 and ctx.view.on_machine(known.id):
+            self._give_up(known, "silent, with tasks")
+        elif known.silent_s > lease + SILENT_S or known.status == "failed":
+            self._give_up(known, "silent")
+
+    def _count_loss(self, known: Known, lost: bool) -> None:
+        """What is silent when a reign begins was lost, or returned, before it."""
+        if lost and known.up and self.ctx.now - self.ctx.token_since > 10.0:
+            self.losses.setdefault(known.pool, Losses()).lost(self.ctx.now)
 
     def _lose(self, known: Known) -> None:
         self.known.pop(known.id, None)
-        if known.up:
-            self.losses.setdefault(known.pool, Losses()).lost(self.ctx.now)
+        self._count_loss(known, not known.lost)
         if self.ctx.view.on_machine(known.id):
             self.returning.setdefault(known.id, "lost, with tasks")
 
@@ -418,7 +442,7 @@
         losses = {pool: lost.rate(ctx.now) for pool, lost in self.losses.items()}
         planner = Planner(catalog, self.runs, ctx.now, self.blocked, losses)
         for known in self.known.values():
-            if known.id not in self.returning and known.pool in planner.pools:
+            if known.id not in self.returning and not known.lost and known.pool in planner.pools:
                 planner.pools[known.pool].machines += 1
         for name, record in ctx.view.pools.items():
             build, _, kind = name.partition("/")
