--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -11,8 +11,10 @@
     """A machine as a place for tasks, with what is still free on it."""
 
     __slots__ = (
+        "batch",
         "cpus",
         "draining",
+        "fetching",
         "gpus",
         "id",
         "idle_since",
@@ -34,6 +36,8 @@
         self.owner, self.session = owner, session
         self.cpus, self.gpus, self.memory = kind.cpus, kind.gpus, kind.memory
         self.images: frozenset[str] = frozenset()
+        self.fetching: dict[str, float] = {}
+        self.batch: list[Job] = []
         self.lent = False
         self.draining = False
         self.tasks = 0
@@ -51,12 +55,18 @@
         self.gpus -= spec.gpus
         self.memory -= spec.memory
         self.tasks += 1
+        if spec.image not in self.images:
+            self.fetching[spec.image] = spec.image_gb
+        if spec.shape != "standing":
+            self.batch.append(spec)
 
     def give(self, spec: Job) -> None:
         self.cpus += spec.cpus
         self.gpus += spec.gpus
         self.memory += spec.memory
         self.tasks -= 1
+        if spec in self.batch:
+            self.batch.remove(spec)
 
     @property
     def left(self) -> float:
@@ -101,10 +111,11 @@
 
 
 def fetch_time(spec: Job, room: Room) -> float:
-    """Seconds until the image is there."""
+    """Seconds until the image is there; images fetched together share the rate."""
     if spec.image in room.images or not room.kind.fetch:
         return 0.0
-    return spec.image_gb / room.kind.fetch
+    others = sum(gb for image, gb in room.fetching.items() if image != spec.image)
+    return (spec.image_gb + others) / room.kind.fetch
 
 
 def cost(spec: Job, room: Room) -> tuple[float, float, str]:
