--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -30,6 +30,7 @@
         self.running: dict[tuple[str, int, int], float] = {}
         self.images: dict[str, float] = {}
         self.failures: list[str] = []
+        self.told: set[tuple[str, int, int]] = set()
         self.sick = False
         self.lent_until = 0.0
         self.idle_since = Moment(0.0)
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -10,7 +10,7 @@
 
 from coursefold.coordination import jobs
 from coursefold.coordination.context import DRIFT, Context, Machine
-from coursefold.coordination.effects import Answer
+from coursefold.coordination.effects import Answer, Direct
 from coursefold.coordination.election import Election
 from coursefold.coordination.parts import owner as owner_of
 from coursefold.coordination.placement import choose
@@ -130,6 +130,7 @@
         ctx = self.ctx
         if r.session != m.session:
             m.running.clear()
+            m.told.clear()
             m.images.clear() if m.session == 0 else None
         m.session, m.counter, m.token = r.session, r.counter, r.token
         m.heard, m.addr, m.lost = ctx.now, r.addr, False
@@ -294,10 +295,39 @@
                 log.info("machine %s: silent for %.1f s", m.id, quiet)
             if m.lost:
                 self._expire(m)
+            else:
+                self._stop_now(m)
             if quiet > 120.0 and not ctx.view.on_machine(m.id):
                 del ctx.machines[m.id]
         self.place()
 
+    def _stop_now(self, m: Machine) -> None:
+        """Tell a worker to stop a task without waiting for its report.
+
+        Only stops go this way, and only once they are written: a command to the
+        worker's own address may execute minutes late, and a late stop of an attempt
+        that has to stop is harmless, while a late `run` is not.
+        """
+        ctx = self.ctx
+        orders = []
+        for job_id, entry in ctx.view.on_machine(m.id):
+            job = ctx.view.jobs[job_id]
+            key = (job_id, entry.index, entry.attempt)
+            listed = m.tasks.get((job_id, entry.index))
+            if (
+                (job.status == CANCELLED or entry.stage == STOPPING)
+                and entry.session == m.session
+                and listed is not None
+                and listed.attempt == entry.attempt
+                and listed.state not in ("exited", "flushing")
+                and key not in m.told
+            ):
+                m.told.add(key)
+                grace = 0.0 if job.status == CANCELLED else self._grace(job)
+                orders.append(Order("stop", f"{job_id}/{entry.index}", entry.attempt, grace))
+        if orders:
+            ctx.out.append(Direct(m.addr, ctx.view.token, m.session, orders))
+
     def _expire(self, m: Machine) -> None:
         """Its lease is over: nobody but us could renew it, and we did not.
 
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from coursefold.coordination.core import Core
-from coursefold.coordination.effects import Answer, CloudCall, Read, Tell
+from coursefold.coordination.effects import Answer, CloudCall, Direct, Read, Tell
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, Moment, WallTime
-from coursefold.protocol.wire import KeyRow, encode
+from coursefold.protocol.wire import DirectOrders, KeyRow, encode
 from coursefold.settings import Settings
 from coursefold.storage import records
 from coursefold.storage.queue import Batch
@@ -97,6 +97,8 @@
                 self._spawn(self._read(effect.ticket, JobId(effect.job)))
             elif isinstance(effect, CloudCall):
                 self._spawn(self._cloud_call(effect))
+            elif isinstance(effect, Direct):
+                self._spawn(self._direct(effect))
             elif isinstance(effect, Tell):
                 for link in self.links:
                     link.wake.set()
@@ -189,6 +191,22 @@
         self._flush()
         self._changed()
 
+    async def _direct(self, direct: Direct) -> None:
+        """Commands to a worker's address; its next report tells what came of them."""
+        try:
+            client = HttpClient(direct.addr, 1)
+        except ValueError as wrong:
+            log.error("worker address: %s", wrong)
+            return
+        body = encode(DirectOrders(direct.token, direct.session, direct.orders))
+        try:
+            status, _ = await client.fetch("POST", "/orders", body, 3.0)
+            log.debug("orders to %s: %d", direct.addr, status)
+        except NoAnswer as wrong:
+            log.debug("orders to %s: %s", direct.addr, wrong)
+        finally:
+            client.close()
+
     # State service
 
     def _state_heard(self, sent: Moment) -> None:
--- a/coursefold/transport/http_client.py
+++ b/coursefold/transport/http_client.py
@@ -95,6 +95,12 @@
             else:
                 stream.close()
 
+    def close(self) -> None:
+        """Close what is idle; for addresses that are asked once."""
+        for stream in self.idle:
+            stream.close()
+        self.idle.clear()
+
     async def _stream(self) -> IOStream:
         while self.idle:
             stream = self.idle.pop()
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -12,6 +12,7 @@
     restart                                     n0 is killed and starts again
     holds job-1/0 i-1 / holds job-1/0 nothing   the record's entry for a task
     reason job-1                                why a poll says that the job waits
+    direct                                      commands sent to workers' addresses
     called hire 2 / returned i-1                what the cloud was asked for
 """
 
@@ -145,6 +146,12 @@
         answer = self.world.poll(words[0])
         return str(answer.body.get("reason", "none")) if answer else "nothing"
 
+    def do_direct(self, words: list[str]) -> str:
+        """Commands sent to workers' own addresses since the last look."""
+        sent, self.world.direct = self.world.direct, []
+        orders = [o for d in sent for o in d.orders]
+        return " ".join(f"{o.verb} {o.task}#{o.attempt}" for o in orders) or "nothing"
+
     def do_hires(self, words: list[str]) -> str:
         """How many names were used for hires, and how many machines they asked for."""
         asked = {b["Hire"]: b["Count"] for verb, b in self.world.calls if verb == "hire"}
--- a/tests/world.py
+++ b/tests/world.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from coursefold.coordination.core import Core
-from coursefold.coordination.effects import Answer, CloudCall, Read
+from coursefold.coordination.effects import Answer, CloudCall, Direct, Read
 from coursefold.protocol.ids import JobId, Moment, WallTime
 from coursefold.protocol.wire import Catalog, encode
 from coursefold.settings import Settings
@@ -83,6 +83,7 @@
         self.listed: dict[str, dict[str, Any]] = {}
         self.last_ticket = 0
         self.answers: dict[int, Answer] = {}
+        self.direct: list[Direct] = []
         self.store.set(records.CATALOG, msgspec.to_builtins(self._catalog()))
         self.restart()
 
@@ -193,6 +194,8 @@
                 self.answers[effect.ticket] = effect
             elif isinstance(effect, Read):
                 self._read(effect)
+            elif isinstance(effect, Direct):
+                self.direct.append(effect)
             elif isinstance(effect, CloudCall):
                 self._cloud(effect)
         return moved
