--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -12,6 +12,9 @@
     restart                                     n0 is killed and starts again
     holds job-1/0 i-1 / holds job-1/0 nothing   the record's entry for a task
     reason job-1                                why a poll says that the job waits
+    member n1 b / members                       n1 joins; who is in the roster
+    peer n1 age=0.5                             n1 says when it last had the state service
+    listed i-9 running                          the cloud lists a machine
     direct                                      commands sent to workers' addresses
     called hire 2 / returned i-1                what the cloud was asked for
 """
@@ -107,7 +110,13 @@
         machine = words[0]
         count = fields.pop("counter", self.counters.get(machine, 0) + 1)
         self.counters[machine] = max(count, self.counters.get(machine, 0))
-        names = {"shift": "Shift", "token": "Baton", "zone": "Site", "spot": "Loaners"}
+        names = {
+            "shift": "Shift",
+            "token": "Baton",
+            "zone": "Site",
+            "spot": "Loaners",
+            "recall": "RecallS",
+        }
         sent = {names.get(key, key): val for key, val in fields.items()}
         answer = self.world.report(machine, tasks_of(words[1:]), Counter=count, **sent)
         return shown(answer)
@@ -146,6 +155,25 @@
         answer = self.world.poll(words[0])
         return str(answer.body.get("reason", "none")) if answer else "nothing"
 
+    def do_member(self, words: list[str]) -> str:
+        self.world.join(words[0], words[1])
+        return ""
+
+    def do_peer(self, words: list[str]) -> str:
+        fields = fields_of(words[1:])
+        self.world.peer(self.world.peer_frame(words[0], float(fields["age"])))
+        return ""
+
+    def do_members(self, words: list[str]) -> str:
+        roster = self.world.core.view.roster
+        return " ".join(m.name for m in roster.members) if roster else "nobody"
+
+    def do_listed(self, words: list[str]) -> str:
+        box = {"NameId": words[0], "Addr": "10.0.0.9:9000", "Build": "g2", "Site": "a"}
+        rest = {"Loaners": False, "Status": words[1], "HeldS": 5.0}
+        self.world.listed[words[0]] = box | rest
+        return ""
+
     def do_direct(self, words: list[str]) -> str:
         """Commands sent to workers' own addresses since the last look."""
         sent, self.world.direct = self.world.direct, []
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,6 +11,7 @@
 
 from coursefold.coordination.core import Core
 from coursefold.coordination.effects import Answer, CloudCall, Direct, Read
+from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, Moment, WallTime
 from coursefold.protocol.wire import Catalog, encode
 from coursefold.settings import Settings
@@ -230,11 +231,17 @@
             body = call.body
             names = self.hired.setdefault(body["Hire"], [])
             while len(names) < body["Count"]:
-                names.append(f"i-{sum(map(len, self.hired.values())):06d}")
+                name = f"i-{sum(map(len, self.hired.values())):06d}"
+                names.append(name)
+                kind = {key: body[key] for key in ("Build", "Site", "Loaners")}
+                box = {"NameId": name, "Addr": "10.0.0.9:9000", "Status": "starting"}
+                self.listed[name] = box | kind | {"HeldS": 0.0}
             if self.cloud != "mute":
                 self.core.cloud(call.call, 200, encode({"Boxes": names}))
         elif call.verb == "return":
             self.returned.extend(call.body["Boxes"])
+            for name in call.body["Boxes"]:
+                self.listed.pop(name, None)
             self.core.cloud(call.call, 200, encode({}))
 
     # Inputs
@@ -269,6 +276,18 @@
         self.enter().peer(frame)
         self.settle()
 
+    def join(self, member: str, zone: str) -> None:
+        """Another controller joins, and holds its lease."""
+        permit = self.store.grant(self.now, 3_600_000)
+        self.store.set(records.MEMBERS + member, [member, permit, zone], permit)
+
+    def peer_frame(self, member: str, state_age: float = 0.0, version: int = 1) -> bytes:
+        """A summary as a sibling would send it now."""
+        envelope = peer_pb2.Envelope(version=version, sender=member, sent_at=EPOCH + self.now)
+        envelope.summary.token = self.core.view.token
+        envelope.summary.state_age_s = state_age
+        return envelope.SerializeToString()
+
     def take_over(self, leader: str, zone: str) -> None:
         """Another node becomes the only member of the roster."""
         permit = self.store.grant(self.now, 3_600_000)
