--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -25,7 +25,9 @@
 def test_an_owner_that_returns_does_not_give_up_what_its_stand_in_heard() -> None:
     """Seen: a node cut off for 45 s came back, and nine live machines were returned."""
     world = World()
-    world.report("i-1", [])
+    pair = Roster("n1", [MemberRecord("n0", 1, "a"), MemberRecord("n1", 2, "a")])
+    machine = next(m for m in (f"i-{n}" for n in range(99)) if owner(m, "a", pair) == "n0")
+    world.report(machine, [])
     world.take_over("n1", "a")
     world.run(30.0)
     mine = ["n0", world.core.ctx.permit, "a"]
@@ -33,7 +35,7 @@
     world.store.set(str(records.ROSTER), ["n1", [mine, other]])
     world.run(33.0)
     assert world.core.ctx.active()
-    assert not world.core.ctx.machines["i-1"].lost
+    assert not world.core.ctx.machines[machine].lost
 
 
 def test_nobody_decides_before_the_news_has_come_as_far_as_the_roster() -> None:
