--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -48,7 +48,7 @@
         self.links = [
             PeerLink(s.member, s.peer_addr, self._summary, PEER_S) for s in settings.siblings
         ]
-        self.life_ms = int(min(4000.0, params.workers.lease_s * 300.0))
+        self.life_ms = int(min(2500.0, params.workers.lease_s * 250.0))
         self.wake = asyncio.Event()
         self.dirty = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
