--- a/coursefold/coordination/preemption.py
+++ b/coursefold/coordination/preemption.py
@@ -8,7 +8,7 @@
 
 from coursefold.coordination import jobs
 from coursefold.coordination.context import Context
-from coursefold.coordination.placement import Room, allowed
+from coursefold.coordination.placement import Room, allowed, fetch_time
 from coursefold.coordination.quota import Quota
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import RANKS, Job
@@ -98,12 +98,17 @@
         if not self._ready(name, job, index):
             return
         best: list[tuple[JobId, Entry]] | None = None
+        least = 0.0
         for room in rooms:
             if room.draining or room.lent or not allowed(job.spec, room):
                 continue
             found = self.victims(room, job.spec, within, quota)
-            if found is not None and (best is None or len(found) < len(best)):
-                best = found
+            if found is None:
+                continue
+            # A place whose image has to come first is taken late all the same.
+            price = fetch_time(job.spec, room) + 10.0 * len(found)
+            if best is None or price < least:
+                best, least = found, price
         if best is not None:
             self._stop(name, index, best)
 
