--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -43,7 +43,7 @@
     """A machine that the leader believes to exist."""
 
     __slots__ = (
-        "build", "hired_at", "id", "listed_at", "lost", "silent_s", "spot", "status", "up",
+        "build", "hired_at", "id", "listed_at", "lost", "sick", "silent_s", "spot", "status", "up",
         "zone",
     )  # fmt: skip
 
@@ -53,7 +53,7 @@
         self.listed_at = 0.0
         self.status = "starting"
         self.up = False
-        self.lost = False
+        self.lost = self.sick = False
         self.silent_s = 0.0
 
     @property
@@ -312,7 +312,10 @@
                     self._count_loss(known, lost)
                 if lost:
                     self._silent(known)
-                elif sick:
+                known.sick = sick
+                if sick and not lost and not ctx.view.on_machine(known.id):
+                    # What already runs on a faulty machine may well run on: seen, a
+                    # replica of five minutes was ended by returning its machine.
                     self._give_up(known, "sick")
             elif known.status == "failed":
                 self._give_up(known, "failed")
@@ -454,7 +457,11 @@
             catalog, self.runs, ctx.now, self.blocked, losses, self.parameters.arrivals_window
         )
         for known in self.known.values():
-            if known.id not in self.returning and not known.lost and known.pool in planner.pools:
+            if (
+                known.id not in self.returning
+                and not (known.lost or known.sick)
+                and known.pool in planner.pools
+            ):
                 planner.pools[known.pool].machines += 1
         for name, record in ctx.view.pools.items():
             build, _, kind = name.partition("/")
