--- a/coursefold/policy/model.py
+++ b/coursefold/policy/model.py
@@ -21,7 +21,7 @@
     period: float = 2.0
     arrivals_window: float = 150.0
     loss_window: float = 300.0
-    idle: float = 20.0
+    idle: float = 45.0  # about what renting anew would cost: a boot and a fetch
 
 
 DEFAULTS = Parameters()
