--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -35,6 +35,25 @@
         self.slack = order.slack
 
 
+def merged(found: list[Waiting]) -> list[Waiting]:
+    """Gangs, the small ones first, merged with all other work by everything but size.
+
+    Seen on real processes: size compared with arrays too, so that every new array
+    went before an older gang of three.
+    """
+    gangs_first = sorted(
+        (w for w in found if w.job.spec.shape == "ensemble"), key=lambda w: w.order, reverse=True
+    )
+    others = sorted(
+        (w for w in found if w.job.spec.shape != "ensemble"), key=lambda w: w.order, reverse=True
+    )
+    queue: list[Waiting] = []
+    while gangs_first and others:
+        gang = gangs_first[-1].order._replace(size=0)
+        queue.append((gangs_first if gang < others[-1].order else others).pop())
+    return queue + gangs_first[::-1] + others[::-1]
+
+
 class Leader:
     """Deals while this node leads."""
 
@@ -70,8 +89,7 @@
             run = self.runs.mean(job.spec, ctx.now)
             order = self.ordering.key(job.spec, name, ctx.wall - job.at, run, within)
             found.append(Waiting(name, job, within, order))
-        found.sort(key=lambda w: w.order)
-        return found
+        return merged(found)
 
     def tick(self) -> None:
         ctx = self.ctx
