--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -14,7 +14,7 @@
     reason job-1                                why a poll says that the job waits
     member n1 b / members                       n1 joins; who is in the roster
     peer n1 age=0.5                             n1 says when it last had the state service
-    listed i-9 running                          the cloud lists a machine
+    listed i-9 running / unlisted i-9           the cloud lists a machine, or no longer
     direct                                      commands sent to workers' addresses
     called hire 2 / returned i-1                what the cloud was asked for
 """
@@ -174,6 +174,10 @@
         self.world.listed[words[0]] = box | rest
         return ""
 
+    def do_unlisted(self, words: list[str]) -> str:
+        self.world.listed.pop(words[0], None)
+        return ""
+
     def do_direct(self, words: list[str]) -> str:
         """Commands sent to workers' own addresses since the last look."""
         sent, self.world.direct = self.world.direct, []
