--- /dev/null
+++ b/coursefold/__main__.py
@@ -0,0 +1,5 @@
+"""`python3 -m coursefold`."""
+
+from coursefold.cli import main
+
+main()
--- /dev/null
+++ b/coursefold/coordination/context.py
@@ -0,0 +1,188 @@
+"""What every part of the core shares: settings, the view, time, and the outbox."""
+
+from coursefold.coordination.effects import Effect
+from coursefold.coordination.parts import owner
+from coursefold.coordination.placement import Room
+from coursefold.protocol.ids import Member, Moment, WallTime
+from coursefold.protocol.wire import Job, MachineType, TaskReport
+from coursefold.settings import Settings
+from coursefold.storage.queue import CommitQueue
+from coursefold.storage.records import MemberRecord, Roster
+from coursefold.storage.view import View
+
+DRIFT = 1.002  # two clocks may each be off by 0.05%; this is twice that and more
+
+
+class Machine:
+    """A worker in our part, as its reports show it."""
+
+    def __init__(self, id: str, build: str, zone: str, spot: bool) -> None:
+        self.id, self.build, self.zone, self.spot = id, build, zone, spot
+        self.addr = ""
+        self.session = 0
+        self.counter = -1
+        self.token = 0
+        self.heard = Moment(0.0)
+        self.answered = Moment(0.0)
+        self.recall_at: float | None = None
+        self.tasks: dict[tuple[str, int], TaskReport] = {}
+        self.sent: dict[tuple[str, int, int], int] = {}
+        self.running: dict[tuple[str, int, int], float] = {}
+        self.images: dict[str, float] = {}
+        self.failures: list[str] = []
+        self.sick = False
+        self.lent_until = 0.0
+        self.idle_since = Moment(0.0)
+        self.lost = False
+
+    def remember_image(self, image: str, size: float, cache: float) -> None:
+        """Most recently used last; what exceeds the cache is taken as dropped."""
+        self.images.pop(image, None)
+        self.images[image] = size
+        while len(self.images) > 1 and sum(self.images.values()) > cache:
+            del self.images[next(iter(self.images))]
+
+
+class PeerMachine:
+    """A worker in a sibling's part, as its summary shows it."""
+
+    __slots__ = (
+        "build", "draining", "id", "idle", "idle_s", "images", "lent", "session", "sick",
+        "silent_s", "spot", "zone",
+    )  # fmt: skip
+
+    def __init__(
+        self, id: str, build: str, zone: str, spot: bool, session: int, silent_s: float
+    ) -> None:
+        self.id, self.build, self.zone, self.spot = id, build, zone, spot
+        self.session, self.silent_s = session, silent_s
+        self.draining = self.sick = self.lent = self.idle = False
+        self.idle_s = 0.0
+        self.images: frozenset[str] = frozenset()
+
+
+class PeerView:
+    """A sibling's last summary and when it came."""
+
+    def __init__(self, member: str, token: int, permit: int, state_age: float, at: Moment) -> None:
+        self.member, self.token, self.permit = member, token, permit
+        self.state_age, self.at = state_age, at
+        self.machines: dict[str, PeerMachine] = {}
+        self.wanted: frozenset[str] = frozenset()
+        self.complaints: frozenset[str] = frozenset()
+
+
+class Context:
+    """State shared by election, owners, the leader and the fleet."""
+
+    def __init__(self, settings: Settings, view: View, queue: CommitQueue) -> None:
+        self.settings, self.view, self.queue = settings, view, queue
+        self.me = Member(settings.member)
+        self.now, self.wall = Moment(0.0), WallTime(0.0)
+        self.started: Moment | None = None
+        self.out: list[Effect] = []
+        self.permit = 0
+        self.lease_until = Moment(0.0)
+        self.state_ok_at = Moment(0.0)
+        self.follow_ok_at = Moment(0.0)
+        self.token_since = Moment(0.0)
+        self.token_seen = 0
+        self.machines: dict[str, Machine] = {}
+        self.peers: dict[str, PeerView] = {}
+        self.pending: dict[tuple[str, int], tuple[str, Job]] = {}
+        self.finished: list[tuple[str, float]] = []
+        self.tell = False
+
+    @property
+    def roster(self) -> Roster | None:
+        return self.view.roster
+
+    def my_record(self) -> MemberRecord | None:
+        """Our place in the roster, if it is this incarnation's."""
+        roster = self.view.roster
+        mine = roster.member(self.me) if roster else None
+        return mine if mine and self.permit and mine.permit == self.permit else None
+
+    def active(self) -> bool:
+        """True while we may decide: in the roster, our lease safe, our view fresh."""
+        return (
+            self.view.loaded
+            # Our own commit's answer may overtake the news of what former owners
+            # wrote before it; until the news has come that far, we know too little.
+            and self.view.ledger >= self.view.token
+            and self.now < self.lease_until
+            and self.my_record() is not None
+            and self.now - self.follow_ok_at < 8.0
+        )
+
+    def leading(self) -> bool:
+        roster = self.view.roster
+        return roster is not None and roster.leader == self.me and self.active()
+
+    def owns(self, machine: str, zone: str) -> bool:
+        roster = self.view.roster
+        return roster is not None and owner(machine, zone, roster) == self.me
+
+    def alive_within(self) -> float:
+        """A machine not heard for longer takes no new tasks."""
+        return self.settings.params.workers.report_s * 2.5 + 0.5
+
+    def kind(self, build: str) -> MachineType | None:
+        catalog = self.view.catalog
+        if catalog is None:
+            return None
+        return next((t for t in catalog.builds if t.name == build), None)
+
+    def rooms(self, mine_only: bool = False) -> list[Room]:
+        """Machines that can take tasks, with what is free after all entries and plans."""
+        rooms: dict[str, Room] = {}
+        for m in self.machines.values():
+            kind = self.kind(m.build)
+            if (
+                kind is None
+                or m.sick
+                or m.lost
+                or self.now - m.heard > self.alive_within()
+                or not self.owns(m.id, m.zone)
+            ):
+                continue
+            room = Room(m.id, kind, m.zone, m.spot, self.me, m.session)
+            room.images = frozenset(m.images)
+            room.draining = m.recall_at is not None
+            room.lent = m.lent_until > self.now
+            room.idle_since = m.idle_since
+            rooms[m.id] = room
+        if not mine_only:
+            self._peer_rooms(rooms)
+        for machine, entries in self.view.by_machine().items():
+            found = rooms.get(machine)
+            if found is not None:
+                for job, entry in entries:
+                    if (job, entry.index) not in self.pending:
+                        found.take(self.view.jobs[job].spec)
+        for machine, spec in self.pending.values():
+            found = rooms.get(machine)
+            if found is not None:
+                found.take(spec)
+        return list(rooms.values())
+
+    def _peer_rooms(self, rooms: dict[str, Room]) -> None:
+        roster = self.view.roster
+        for peer in self.peers.values():
+            if roster is None or self.now - peer.at > 3.0:
+                continue
+            for pm in peer.machines.values():
+                kind = self.kind(pm.build)
+                if (
+                    kind is None
+                    or pm.sick
+                    or pm.silent_s + (self.now - peer.at) > self.alive_within()
+                    or owner(pm.id, pm.zone, roster) != peer.member
+                ):
+                    continue
+                room = Room(pm.id, kind, pm.zone, pm.spot, peer.member, pm.session)
+                room.images = pm.images
+                room.draining = pm.draining
+                room.lent = pm.lent
+                room.idle_since = self.now - pm.idle_s
+                rooms[pm.id] = room
--- /dev/null
+++ b/coursefold/coordination/core.py
@@ -0,0 +1,264 @@
+"""The core of a controller: inputs in, effects out.
+
+No I/O, no clock, no randomness: every input comes with the time, and what is to
+be sent, written or answered is left in the outbox. A recorded series of inputs
+therefore gives the same decisions again.
+"""
+
+import logging
+from typing import Any
+
+from coursefold.coordination import jobs, summary
+from coursefold.coordination.context import Context
+from coursefold.coordination.effects import Answer, Effect, Read, Tell
+from coursefold.coordination.election import Election
+from coursefold.coordination.fleet import Fleet
+from coursefold.coordination.leader import Leader
+from coursefold.coordination.owner import Owner
+from coursefold.coordination.placement import fits_type
+from coursefold.coordination.quota import limit_fits
+from coursefold.protocol.ids import JobId, Moment, WallTime, is_job_id
+from coursefold.protocol.wire import Job, Malformed, decode_job, decode_report
+from coursefold.settings import Settings
+from coursefold.storage import records
+from coursefold.storage.queue import FIRST, CommitQueue, Edit
+from coursefold.storage.records import Ending, JobRecord, job_key
+from coursefold.storage.view import View
+
+log = logging.getLogger(__name__)
+
+STATE_SILENCE_S = 3.0
+
+
+class Core:
+    """One controller's state machine."""
+
+    def __init__(self, settings: Settings) -> None:
+        state = settings.params.state
+        self.view = View()
+        self.queue = CommitQueue(
+            self.view, txn_ops=state.txn_ops, value_kb=state.value_kb, write_rps=state.write_rps
+        )
+        self.ctx = Context(settings, self.view, self.queue)
+        self.election = Election(self.ctx)
+        self.owner = Owner(self.ctx, self.election)
+        self.leader = Leader(self.ctx, self.owner)
+        self.fleet = Fleet(self.ctx, self.leader)
+        self.asking: dict[int, tuple[str, str, Job | None]] = {}
+        self.was_leading = False
+
+    def at(self, now: Moment, wall: WallTime) -> None:
+        """Set the time of the inputs that follow."""
+        ctx = self.ctx
+        ctx.now, ctx.wall = now, wall
+        if ctx.started is None:
+            ctx.started = now
+        if ctx.token_seen != self.view.token:
+            ctx.token_seen, ctx.token_since = self.view.token, now
+
+    def drain(self) -> list[Effect]:
+        """What the inputs so far ask for."""
+        out, self.ctx.out = self.ctx.out, []
+        if self.ctx.tell:
+            self.ctx.tell = False
+            out.append(Tell())
+        return out
+
+    def tick(self) -> None:
+        """Time has passed, or records have changed."""
+        self.election.tick()
+        self.owner.tick()
+        self.leader.tick()
+        self.fleet.tick()
+        leading = self.ctx.leading()
+        if leading != self.was_leading:
+            self.was_leading = leading
+            log.info("%s, token %d", "leading" if leading else "no longer leading", self.view.token)
+
+    def summary(self) -> bytes:
+        """The frame for our siblings."""
+        return summary.build(self.ctx, set(self.leader.wanted), self.election.complaints())
+
+    def peer(self, frame: bytes) -> None:
+        summary.take(self.ctx, frame)
+
+    def cloud(self, call: int, status: int, body: bytes) -> None:
+        self.fleet.outcome(call, status, body)
+
+    # Workers
+
+    def report(self, body: bytes, ticket: int) -> None:
+        """POST /agent/beat."""
+        try:
+            report = decode_report(body)
+        except Malformed as wrong:
+            log.info("report refused: %s", wrong)
+            self.ctx.out.append(Answer(ticket, 400, {"error": str(wrong)}))
+            return
+        self.owner.report(report, ticket)
+
+    # Users
+
+    def healthy(self) -> bool:
+        """Can this node take requests?"""
+        return self.view.loaded and not self.state_silent() and self.view.catalog is not None
+
+    def state_silent(self) -> bool:
+        return self.ctx.now - self.ctx.state_ok_at > STATE_SILENCE_S
+
+    def _later(self, ticket: int, why: str, seconds: int = 1) -> None:
+        self.ctx.out.append(Answer(ticket, 503, {"error": why}, retry_after=seconds))
+
+    def submit(self, body: bytes, ticket: int) -> None:
+        """POST /work."""
+        try:
+            spec = decode_job(body)
+        except Malformed as wrong:
+            log.info("submission refused: %s", wrong)
+            self.ctx.out.append(Answer(ticket, 400, {"error": str(wrong)}))
+            return
+        if not self.view.loaded or self.state_silent():
+            self._later(ticket, "no state service", 2)
+            return
+        if self.view.catalog is None:
+            self._later(ticket, "machine types are not known yet", 1)
+            return
+        if len(self.queue.waiting) > 2 * self.ctx.settings.params.state.write_rps:
+            self._later(ticket, "too many changes are waiting", 3)
+            return
+        if JobId(spec.name) in self.view.jobs or self._never(spec):
+            # Also for what can never run: an id that is known gets its state.
+            self._read(ticket, "submit", spec.name, spec)
+            return
+        self._accept(spec, ticket)
+
+    def _accept(self, spec: Job, ticket: int) -> None:
+        def settled(ok: bool, why: str) -> None:
+            if ok:
+                log.info(
+                    "accept %s: %d tasks of %s for %s", spec.name, spec.tasks, spec.lane, spec.team
+                )
+                self.ctx.out.append(Answer(ticket, 201, {"NameId": spec.name, "Status": "pending"}))
+            elif why in ("too large", "refused"):
+                self.ctx.out.append(Answer(ticket, 400, {"error": "description too large"}))
+            else:
+                self._read(ticket, "submit", spec.name, None)
+
+        change = jobs.accept(spec, self.ctx.wall)
+        self.queue.propose(Edit(job_key(JobId(spec.name)), change, rank=FIRST, done=settled))
+
+    def _never(self, spec: Job) -> str:
+        """Why a job can never run, or nothing."""
+        teams = {t.name: t for t in self.ctx.settings.params.teams}
+        catalog = self.view.catalog
+        if spec.team not in teams:
+            return f"unknown team {spec.team!r}"
+        kinds = [k for k in catalog.builds if fits_type(spec, k)] if catalog else []
+        if not kinds:
+            return "a task fits no allowed machine type"
+        if not limit_fits(teams[spec.team], spec, 1 if spec.shape == "array" else spec.tasks):
+            return "needs more than the team's limit"
+        return ""
+
+    def _read(self, ticket: int, what: str, job: str, spec: Job | None) -> None:
+        self.asking[ticket] = (what, job, spec)
+        self.ctx.out.append(Read(ticket, job))
+
+    def poll(self, job: str, ticket: int) -> None:
+        """GET /work/{id}: read through, for another node may have said something newer."""
+        if not is_job_id(job):
+            self.ctx.out.append(Answer(ticket, 404, {"error": "no such job"}))
+            return
+        if self.state_silent():
+            self._later(ticket, "no state service", 2)
+            return
+        self._read(ticket, "poll", job, None)
+
+    def cancel(self, job: str, ticket: int) -> None:
+        """POST /work/{id}/cancel."""
+        if not is_job_id(job):
+            self.ctx.out.append(Answer(ticket, 404, {"error": "no such job"}))
+            return
+        if not self.view.loaded or self.state_silent():
+            self._later(ticket, "no state service", 2)
+            return
+        if JobId(job) in self.view.jobs:
+            self._cancel(job, ticket)
+        else:
+            self._read(ticket, "cancel", job, None)
+
+    def _cancel(self, job: str, ticket: int) -> None:
+        def settled(ok: bool, why: str) -> None:
+            if ok or why == "cancelled":
+                log.info("cancel %s", job)
+                self.ctx.out.append(Answer(ticket, 200, {"NameId": job, "Status": "cancelled"}))
+            else:
+                self._read(ticket, "over", job, None)
+
+        self.queue.propose(Edit(job_key(JobId(job)), jobs.cancel(), rank=FIRST, done=settled))
+
+    def read_failed(self, ticket: int) -> None:
+        """The state service could not be asked."""
+        if self.asking.pop(ticket, None) is not None:
+            self._later(ticket, "no state service", 1)
+
+    def read(self, ticket: int, found: JobRecord | Ending | None) -> None:
+        """What the state service knows of the job asked for."""
+        asked = self.asking.pop(ticket, None)
+        if asked is None:
+            return
+        what, name, spec = asked
+        if found is None:
+            self._unknown(ticket, what, spec)
+            return
+        if isinstance(found, Ending):
+            done = found.tasks if found.status == records.DONE else 0
+            body: dict[str, Any] = {
+                "NameId": name,
+                "Status": records.STATUS[found.status],
+                "done": done,
+                "running": 0,
+            }
+            self.ctx.out.append(Answer(ticket, 200, body))
+            return
+        if what == "cancel" and found.status == records.LIVE:
+            self._cancel(name, ticket)
+            return
+        if what == "over" and found.status == records.LIVE:
+            self._later(ticket, "conflicting changes")
+            return
+        self.ctx.out.append(Answer(ticket, 200, self.describe(name, found)))
+
+    def _unknown(self, ticket: int, what: str, spec: Job | None) -> None:
+        if what == "submit" and spec is not None:
+            never = self._never(spec)
+            if never:
+                log.info("refuse %s: %s", spec.name, never)
+                self.ctx.out.append(Answer(ticket, 422, {"error": never}))
+            else:
+                self._accept(spec, ticket)
+        elif what == "submit":
+            self._later(ticket, "not accepted yet")
+        else:
+            self.ctx.out.append(Answer(ticket, 404, {"error": "no such job"}))
+
+    def describe(self, name: str, job: JobRecord) -> dict[str, Any]:
+        """A live job's state as its user sees it."""
+        running = sum(1 for e in job.entries if e.stage != records.DEALT)
+        status = records.STATUS[job.status]
+        if job.status == records.LIVE and running:
+            status = "running"
+        body: dict[str, Any] = {
+            "NameId": name,
+            "Status": status,
+            "done": job.done_count,
+            "running": running if job.status == records.LIVE else 0,
+        }
+        reason = self.leader.reasons.get(JobId(name))
+        if reason and not running:
+            body["reason"] = reason
+        return body
+
+    def forget_ticket(self, ticket: int) -> None:
+        """The asker has gone or was told to come back."""
+        self.asking.pop(ticket, None)
--- /dev/null
+++ b/coursefold/coordination/demand.py
@@ -0,0 +1,254 @@
+"""How many slots each pool should have: λ, μ, c* and its raises.
+
+A pool is alike machines: one type, ordinary or spot. A slot is one
+accelerator's share of a machine (one core's, where it has none); a task takes
+as many slots as its largest share of the machine is worth.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from coursefold.coordination import gangs
+from coursefold.coordination.placement import Room, choose, fits_type, share
+from coursefold.coordination.queueing import optimum
+from coursefold.protocol.wire import Catalog, Job, MachineType
+
+WINDOW_S = 60.0
+HISTORY_S = 1800.0
+DEFAULT_RUN_S = 60.0
+
+
+class PoolId(NamedTuple):
+    build: str
+    spot: bool
+
+    def __str__(self) -> str:
+        return f"{self.build}/{'spot' if self.spot else 'ordinary'}"
+
+
+def slots(kind: MachineType) -> int:
+    """Slots of one machine."""
+    return max(1, round(kind.gpus or kind.cpus))
+
+
+def weight(spec: Job, kind: MachineType) -> float:
+    """Slots that a task takes."""
+    return share(spec, kind) * slots(kind)
+
+
+class Runs:
+    """Mean time on a machine by class, from tasks finished in the last 30 minutes."""
+
+    def __init__(self) -> None:
+        self.seen: dict[str, deque[tuple[float, float]]] = {}
+
+    def add(self, lane: str, seconds: float, now: float) -> None:
+        self.seen.setdefault(lane, deque(maxlen=200)).append((now, seconds))
+
+    def mean(self, spec: Job, now: float) -> float:
+        """The measured mean, or the owner's estimate if no task finished yet."""
+        seen = self.seen.get(spec.lane)
+        while seen and seen[0][0] < now - HISTORY_S:
+            seen.popleft()
+        if seen:
+            return sum(s for _, s in seen) / len(seen)
+        return spec.estimate or DEFAULT_RUN_S
+
+
+class Need(NamedTuple):
+    """Unplaced tasks of one job."""
+
+    spec: Job
+    tasks: int
+    zones: dict[str, int]
+
+
+class PoolDemand:
+    """What one pool is asked for, in slots."""
+
+    def __init__(self, kind: MachineType, spot: bool) -> None:
+        self.kind, self.spot = kind, spot
+        self.k = slots(kind)
+        self.arrivals = 0.0
+        self.work = 0.0
+        self.busy = 0.0
+        self.service = 0.0
+        self.queued = 0.0
+        self.backlog = 0.0
+        self.gang = 0.0
+        self.zones: dict[str, float] = {}
+        self.capped = False
+        self.machines = 0
+
+    @property
+    def price(self) -> float:
+        """Per slot and second."""
+        return (self.kind.spot_price if self.spot else self.kind.price) / 3600.0 / self.k
+
+    @property
+    def mean_run(self) -> float:
+        return self.work / self.arrivals if self.arrivals else DEFAULT_RUN_S
+
+    def target(self, eta: float) -> float:
+        """c*: the optimum of cost against wait, and the raises."""
+        rate = self.arrivals / WINDOW_S
+        base = float(optimum(rate, 1 / self.mean_run, self.price, eta)) if rate else 0.0
+        clear = min(self.backlog, self.backlog * self.mean_run / WINDOW_S)
+        return max(base + self.service, self.busy + self.queued + max(clear, self.gang))
+
+
+def effective_price(spec: Job, kind: MachineType, spot: bool, run: float, loss: float) -> float:
+    """Price of one task's run, with its boot, its fetch and what a loss repeats."""
+    hourly = kind.spot_price if spot else kind.price
+    fetch = spec.image_gb / kind.fetch if kind.fetch else 0.0
+    lost = loss * (min(spec.checkpoint, run) if spec.checkpoint else run)
+    overhead = 1.0 + (0.5 * fetch + 0.2 * kind.boot) / max(run, 10.0) + lost
+    return hourly * share(spec, kind) * overhead
+
+
+class Planner:
+    """Spreads demand over pools, the cheapest first, for one moment."""
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        runs: Runs,
+        now: float,
+        blocked: dict[tuple[str, str, bool], float],
+        losses: dict[PoolId, float],
+    ) -> None:
+        self.catalog, self.runs, self.now = catalog, runs, now
+        self.blocked, self.losses = blocked, losses
+        self.pools = {
+            PoolId(kind.name, spot): PoolDemand(kind, spot)
+            for kind in catalog.builds
+            for spot in (False, True)
+        }
+
+    def choices(self, spec: Job) -> list[PoolId]:
+        """Pools that the job allows, cheapest first."""
+        run = self.runs.mean(spec, self.now) if spec.shape != "standing" else 600.0
+        found = []
+        for pool, demand in self.pools.items():
+            if fits_type(spec, demand.kind) and (spec.spot or not pool.spot):
+                loss = self.losses.get(pool, 0.0)
+                found.append((effective_price(spec, demand.kind, pool.spot, run, loss), pool))
+        return [pool for _, pool in sorted(found)]
+
+    def open_zones(self, pool: PoolId, spec: Job) -> list[str]:
+        """Zones where the pool could still grow for this job."""
+        zones = self.pools[pool].kind.zones if spec.zone is None else [spec.zone]
+        return [z for z in zones if self.blocked.get((pool.build, z, pool.spot), 0.0) <= self.now]
+
+    def arrived(self, spec: Job, tasks: int) -> None:
+        """Count an arrival of the window; a pool that cannot grow takes what it has."""
+        if spec.shape == "standing":
+            return
+        run = self.runs.mean(spec, self.now)
+        left = float(tasks)
+        choices = self.choices(spec)
+        for at, pool in enumerate(choices):
+            demand = self.pools[pool]
+            w = weight(spec, demand.kind)
+            take = left
+            if not self.open_zones(pool, spec) and at + 1 < len(choices):
+                able = demand.machines * demand.k * WINDOW_S / max(run, 1.0)
+                take = min(left, max(0.0, able - demand.arrivals) / w)
+            demand.arrivals += take * w
+            demand.work += take * w * run
+            left -= take
+            if left <= 0:
+                return
+
+    def running(self, spec: Job, pool: PoolId) -> None:
+        demand = self.pools.get(pool)
+        if demand is None:
+            return
+        w = weight(spec, demand.kind)
+        demand.busy += w
+        if spec.shape == "standing":
+            demand.service += w
+
+    def pack(self, needs: Iterable[Need], rooms: list[Room]) -> None:
+        """Waiting tasks take the free and the booting room first; the rest asks for more."""
+        for need in needs:
+            spec = need.spec
+            if spec.shape == "ensemble" and need.tasks > 1:
+                self._pack_gang(need, rooms)
+                continue
+            zones = dict(need.zones)
+            for done in range(need.tasks):
+                room = choose(spec, rooms, zones)
+                if room is None:
+                    self._grow(spec, need.tasks - done, zones)
+                    break
+                room.take(spec)
+                zones[room.zone] = zones.get(room.zone, 0) + 1
+                self._queue(spec, PoolId(room.kind.name, room.spot))
+
+    def _queue(self, spec: Job, pool: PoolId) -> None:
+        demand = self.pools[pool]
+        w = weight(spec, demand.kind)
+        demand.queued += w
+        if spec.shape == "standing":
+            demand.service += w
+
+    def _pack_gang(self, need: Need, rooms: list[Room]) -> None:
+        plan = gangs.fill(need.spec, [r for r in rooms if not r.lent])
+        if plan is not None:
+            for room in plan:
+                room.take(need.spec)
+                self._queue(need.spec, PoolId(room.kind.name, room.spot))
+            return
+        for pool in self.choices(need.spec):
+            open_zones = self.open_zones(pool, need.spec)
+            if not open_zones:
+                continue
+            have = {
+                z: sum(
+                    1
+                    for r in rooms
+                    if r.zone == z
+                    and (r.kind.name, r.spot) == pool
+                    and r.holds(need.spec)
+                    and not r.draining
+                )
+                for z in open_zones
+            }
+            zone = max(open_zones, key=lambda z: (have[z], z))
+            demand = self.pools[pool]
+            w = weight(need.spec, demand.kind)
+            # What the zone has free is kept for the gang; the rest has to be rented.
+            kept = min(have[zone], need.tasks)
+            for room in rooms:
+                if kept and room.zone == zone and room.holds(need.spec) and not room.draining:
+                    room.take(need.spec)
+                    self._queue(need.spec, PoolId(room.kind.name, room.spot))
+                    kept -= 1
+            short = need.tasks - min(have[zone], need.tasks)
+            demand.gang += short * w
+            demand.zones[zone] = demand.zones.get(zone, 0.0) + short * w
+            return
+
+    def _grow(self, spec: Job, tasks: int, zones: dict[str, int]) -> None:
+        """Ask the cheapest pool that can still grow; none can: the task just waits."""
+        for pool in self.choices(spec):
+            open_zones = self.open_zones(pool, spec)
+            if spec.together and zones:
+                open_zones = [z for z in open_zones if z in zones]
+            if not open_zones:
+                continue
+            demand = self.pools[pool]
+            w = weight(spec, demand.kind)
+            for _ in range(tasks):
+                if spec.apart or spec.zone is not None:
+                    zone = min(open_zones, key=lambda z: (zones.get(z, 0), z))
+                    zones[zone] = zones.get(zone, 0) + 1
+                    demand.zones[zone] = demand.zones.get(zone, 0.0) + w
+                if spec.shape == "standing":
+                    demand.service += w
+                    demand.queued += w
+                else:
+                    demand.backlog += w
+            return
--- /dev/null
+++ b/coursefold/coordination/fleet.py
@@ -0,0 +1,554 @@
+"""The fleet: the leader steers each pool to c* by PID, and replaces what is lost.
+
+Every rental is recorded before it is sent, under a name that is never used
+again, so that a successor repeats it instead of renting twice. Machines that
+turn up unexpectedly (a request executed late) are adopted and used, or
+returned when the pool does not need them.
+"""
+
+import logging
+import math
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from coursefold.coordination import jobs
+from coursefold.coordination.context import DRIFT, Context
+from coursefold.coordination.demand import WINDOW_S, Need, Planner, PoolId, Runs
+from coursefold.coordination.effects import CloudCall
+from coursefold.coordination.leader import Leader
+from coursefold.coordination.parts import owner as owner_of
+from coursefold.coordination.pid import Gains, step
+from coursefold.coordination.placement import Room
+from coursefold.coordination.quota import Quota
+from coursefold.coordination.stability import Losses
+from coursefold.protocol.wire import Boxes, Catalog, Job, MachineList, Malformed, decode
+from coursefold.storage import records
+from coursefold.storage.queue import LATER, Budget, Edit, Result, Void
+from coursefold.storage.records import DEALT, Hire, PoolRecord, job_key, pool_key
+
+log = logging.getLogger(__name__)
+
+PERIOD_S = 2.0
+LIST_S = 3.0
+CATALOG_S = 45.0
+IDLE_S = 20.0
+BLOCK_S = 12.0
+ETA = 0.0005
+
+
+class Known:
+    """A machine that the leader believes to exist."""
+
+    __slots__ = (
+        "build", "hired_at", "id", "listed_at", "silent_s", "spot", "status", "up", "zone",
+    )  # fmt: skip
+
+    def __init__(self, id: str, build: str, zone: str, spot: bool, hired_at: float) -> None:
+        self.id, self.build, self.zone, self.spot = id, build, zone, spot
+        self.hired_at = hired_at
+        self.listed_at = 0.0
+        self.status = "starting"
+        self.up = False
+        self.silent_s = 0.0
+
+    @property
+    def pool(self) -> PoolId:
+        return PoolId(self.build, self.spot)
+
+
+class Fleet:
+    """Rents, watches and returns machines while this node leads."""
+
+    def __init__(self, ctx: Context, leader: Leader) -> None:
+        self.ctx, self.leader = ctx, leader
+        self.reign = 0
+        cloud = ctx.settings.params.cloud
+        self.budget = Budget(cloud.rps * 0.8, max(1.0, cloud.rps))
+        self.calls: dict[int, tuple[str, Any]] = {}
+        self.last_call = 0
+        self.pause_until = 0.0
+        self.catalog_at = -math.inf
+        # Never set back: a hire's name is its token and this count, and the same
+        # process may lead twice under one token.
+        self.hires = 0
+        self._reset()
+
+    def _reset(self) -> None:
+        """A new reign starts from reports and lists; the integral starts at zero."""
+        self.known: dict[str, Known] = {}
+        self.returned: dict[str, float] = {}
+        self.returning: dict[str, str] = {}
+        self.listed: list[Any] = []
+        self.lists = 0
+        self.list_at = -math.inf
+        self.plan_at = -math.inf
+        self.blocked: dict[tuple[str, str, bool], float] = {}
+        self.refusals: dict[tuple[str, str, bool], int] = {}
+        self.losses: dict[PoolId, Losses] = {}
+        self.errors: dict[PoolId, tuple[float, float]] = {}
+        self.runs = Runs()
+        self.arrivals: dict[str, tuple[float, Job]] = {}
+        self.asked: set[str] = set()
+        self.calls.clear()
+
+    # Calls to the cloud
+
+    def _call(self, verb: str, body: dict[str, Any], about: Any) -> bool:
+        ctx = self.ctx
+        if ctx.now < self.pause_until or self.budget.fill(ctx.now) < 1.0:
+            return False
+        if sum(1 for v, _ in self.calls.values() if v == verb) >= (2 if verb == "hire" else 1):
+            return False
+        self.budget.take(ctx.now, 1.0)
+        self.last_call += 1
+        self.calls[self.last_call] = (verb, about)
+        ctx.out.append(CloudCall(self.last_call, verb, body))
+        return True
+
+    def outcome(self, call: int, status: int, body: bytes) -> None:
+        """An answer of the cloud; status 0 is no answer."""
+        verb, about = self.calls.pop(call, ("", None))
+        if not verb:
+            return
+        if status in (429, 0) or (status == 503 and b"capacity" not in body):
+            self.pause_until = self.ctx.now + (0.6 if status == 429 else 1.5)
+        if not self.ctx.leading():
+            return
+        try:
+            handler: Callable[[Any, int, bytes], None] = getattr(self, f"_on_{verb}")
+            handler(about, status, body)
+        except Malformed as wrong:
+            log.error("cloud answer to %s is not readable: %s", verb, wrong)
+
+    def _on_catalog(self, about: Any, status: int, body: bytes) -> None:
+        if status != 200:
+            return
+        catalog = decode(body, Catalog)
+        self.catalog_at = self.ctx.now
+
+        def change(current: Struct | None) -> Result:
+            if current == catalog:
+                raise Void("same")
+            return catalog
+
+        self.ctx.queue.propose(
+            Edit(records.CATALOG, change, fence=self.ctx.view.token, rank=LATER, tag="catalog")
+        )
+
+    def _on_list(self, about: Any, status: int, body: bytes) -> None:
+        if status != 200:
+            return
+        listed = decode(body, MachineList)
+        self.listed.extend(listed.machines)
+        if listed.more and listed.machines:
+            self._call("list", {"From": listed.machines[-1].name, "Page": 500}, None)
+            return
+        rows, self.listed = self.listed, []
+        self.lists += 1
+        ctx = self.ctx
+        lag = ctx.settings.params.cloud.list_lag_s
+        for row in rows:
+            if row.name in self.returned:
+                continue
+            known = self.known.get(row.name)
+            if known is None:
+                known = Known(row.name, row.build, row.zone, row.spot, ctx.now - row.held - lag)
+                self.known[row.name] = known
+                log.info("machine %s is listed (%s)", row.name, row.status)
+            known.listed_at, known.status = ctx.now, row.status
+        for known in list(self.known.values()):
+            unlisted = ctx.now - max(known.listed_at, known.hired_at + lag)
+            if unlisted > 2 * lag + 2 * LIST_S and not self._reports(known):
+                log.info("machine %s is listed no more", known.id)
+                self._lose(known)
+
+    def _on_hire(self, about: tuple[PoolId, Hire], status: int, body: bytes) -> None:
+        pool, hire = about
+        self.asked.discard(hire.name)
+        spot = (pool.build, hire.zone, pool.spot)
+        if status == 200:
+            machines = decode(body, Boxes).machines
+            for name in machines:
+                if name not in self.known and name not in self.returned:
+                    self.known[name] = Known(name, pool.build, hire.zone, pool.spot, self.ctx.now)
+            log.info(
+                "hire %s: %d of %d in %s %s", hire.name, len(machines), hire.count, pool, hire.zone
+            )
+            if len(machines) < hire.count:
+                self._block(spot)
+            else:
+                self.refusals.pop(spot, None)
+            self._hire_edit(pool, hire.name, msgspec.structs.replace(hire, machines=machines))
+        elif (status == 503 and b"capacity" in body) or status == 400:
+            log.info("hire %s: refused (%d) in %s %s", hire.name, status, pool, hire.zone)
+            self._block(spot)
+            self._hire_edit(pool, hire.name, None)
+
+    def _block(self, spot: tuple[str, str, bool]) -> None:
+        """No capacity: ask elsewhere for a while."""
+        times = self.refusals.get(spot, 0)
+        self.refusals[spot] = times + 1
+        self.blocked[spot] = self.ctx.now + BLOCK_S * min(4, 1 + times)
+
+    def _on_return(self, names: list[str], status: int, body: bytes) -> None:
+        """200: the machines and everything on them are gone, which is proof."""
+        if status != 200:
+            return
+        ctx = self.ctx
+        for name in names:
+            log.info("machine %s returned (%s)", name, self.returning.get(name, ""))
+            self.returned[name] = ctx.now
+            self.returning.pop(name, None)
+            self.known.pop(name, None)
+            ctx.machines.pop(name, None)
+            self._gone(name)
+
+    def _gone(self, machine: str) -> None:
+        ctx = self.ctx
+        for job, e in ctx.view.on_machine(machine):
+            if e.stage != DEALT:
+                ctx.queue.propose(
+                    Edit(
+                        job_key(job),
+                        jobs.gone(e.index, machine, e.attempt),
+                        fence=ctx.view.token,
+                        tag=f"gone{e.index}",
+                    )
+                )
+
+    # Records
+
+    def _hire_edit(self, pool: PoolId, name: str, hire: Hire | None) -> None:
+        def change(current: Struct | None) -> Result:
+            record = current if isinstance(current, PoolRecord) else PoolRecord()
+            kept = [h for h in record.hires if h.name != name]
+            if hire is not None:
+                kept.append(hire)
+            elif len(kept) == len(record.hires):
+                raise Void("not there")
+            return msgspec.structs.replace(record, hires=kept)
+
+        self.ctx.queue.propose(Edit(pool_key(str(pool)), change, fence=self.ctx.view.token))
+
+    # Each tick
+
+    def tick(self) -> None:
+        ctx = self.ctx
+        if not ctx.leading():
+            self.reign = 0
+            return
+        if self.reign != ctx.view.token:
+            if self.reign == 0 or not self.known:
+                self._reset()
+            self.reign = ctx.view.token
+            self.calls.clear()
+            self.asked.clear()
+        if ctx.view.catalog is None or ctx.now - self.catalog_at > CATALOG_S:
+            self._call("catalog", {}, None)
+        if ctx.now - self.list_at > LIST_S and self._call("list", {"Page": 500}, None):
+            self.list_at = ctx.now
+            self.listed = []
+        if ctx.view.catalog is None:
+            return
+        self._watch()
+        self._send_hires()
+        self._send_returns()
+        if ctx.now - self.plan_at >= PERIOD_S and self.lists > 0:
+            elapsed = min(10.0, ctx.now - self.plan_at)
+            self.plan_at = ctx.now
+            self._plan(ctx.view.catalog, elapsed)
+
+    def _reports(self, known: Known) -> bool:
+        """True while the machine's owner hears from it."""
+        return known.up and known.silent_s < self.ctx.alive_within()
+
+    def _watch(self) -> None:
+        """Bring what owners hear together with what the cloud lists."""
+        ctx = self.ctx
+        roster = ctx.view.roster
+        assert roster is not None
+        seen: dict[str, tuple[float, bool]] = {}
+        for m in ctx.machines.values():
+            seen[m.id] = (ctx.now - m.heard, m.sick)
+            self._adopt(m.id, m.build, m.zone, m.spot)
+        fresh = {ctx.me}
+        for peer in ctx.peers.values():
+            if ctx.now - peer.at > 3.0 or peer.token != ctx.view.token:
+                continue
+            fresh.add(peer.member)  # type: ignore[arg-type]
+            for pm in peer.machines.values():
+                if pm.id not in seen:
+                    seen[pm.id] = (pm.silent_s + ctx.now - peer.at, pm.sick)
+                    self._adopt(pm.id, pm.build, pm.zone, pm.spot)
+        lease = ctx.settings.params.workers.lease_s
+        settled = ctx.now - ctx.token_since > lease * DRIFT + 4.0
+        for known in list(self.known.values()):
+            if known.id in self.returned:
+                continue
+            kind = ctx.kind(known.build)
+            boot = kind.boot if kind else 60.0
+            age = ctx.now - known.hired_at
+            if known.id in seen:
+                known.silent_s, sick = seen[known.id]
+                known.up = True
+                if known.silent_s > lease * DRIFT + 1.0:
+                    self._give_up(known, "silent")
+                elif sick:
+                    self._give_up(known, "sick")
+            elif known.status == "failed":
+                self._give_up(known, "failed")
+            elif not known.up and age > 2.0 * boot + 20.0 and settled:
+                if owner_of(known.id, known.zone, roster) in fresh:
+                    self._give_up(known, "never up")
+            elif known.up and settled and owner_of(known.id, known.zone, roster) in fresh:
+                self._give_up(known, "not heard under this roster")
+        self._orphans(seen, fresh, settled)
+        for name, at in list(self.returned.items()):
+            if ctx.now - at > 180.0:
+                del self.returned[name]
+
+    def _adopt(self, id: str, build: str, zone: str, spot: bool) -> None:
+        if id not in self.known and id not in self.returned:
+            self.known[id] = Known(id, build, zone, spot, self.ctx.now - 60.0)
+
+    def _orphans(self, seen: dict[str, tuple[float, bool]], fresh: set[Any], settled: bool) -> None:
+        """Places on machines that nobody hears and no list shows: prove them gone."""
+        ctx = self.ctx
+        roster = ctx.view.roster
+        if not settled or roster is None:
+            return
+        waited = ctx.now - ctx.token_since
+        cancel = ctx.settings.params.workers.cancel_s
+        for machine, entries in list(ctx.view.by_machine().items()):
+            placed = [(j, e) for j, e in entries if e.stage != DEALT]
+            if not placed or machine in seen:
+                continue
+            if owner_of(machine, placed[0][1].zone, roster) not in fresh:
+                continue
+            if waited > cancel * DRIFT + 5.0:
+                # Longer than any former owner may have gone on renewing its lease.
+                self._gone(machine)
+            elif machine not in self.returning:
+                self.returning[machine] = "unheard of, with tasks"
+
+    def _give_up(self, known: Known, why: str) -> None:
+        if known.id not in self.returning:
+            log.info("machine %s given up: %s", known.id, why)
+            self.returning[known.id] = why
+            if known.up:
+                self.losses.setdefault(known.pool, Losses()).lost(self.ctx.now)
+
+    def _lose(self, known: Known) -> None:
+        self.known.pop(known.id, None)
+        if known.up:
+            self.losses.setdefault(known.pool, Losses()).lost(self.ctx.now)
+        if self.ctx.view.on_machine(known.id):
+            self.returning.setdefault(known.id, "lost, with tasks")
+
+    def _send_returns(self) -> None:
+        ready = [
+            name for name, why in self.returning.items() if why != "spare" or self._lent(name)
+        ][:100]
+        if ready:
+            self._call("return", {"Boxes": ready}, ready)
+
+    def _lent(self, machine: str) -> bool:
+        """A spare machine goes back only while its owner keeps it free."""
+        ctx = self.ctx
+        if ctx.view.on_machine(machine) or any(m == machine for m, _ in ctx.pending.values()):
+            self.returning.pop(machine, None)
+            self.leader.wanted.pop(machine, None)
+            return False
+        mine = ctx.machines.get(machine)
+        if mine is not None:
+            mine.lent_until = ctx.now + 3.0
+            return True
+        self.leader.wanted[machine] = ctx.now + 3.0
+        return any(
+            ctx.now - peer.at < 1.5 and machine in peer.machines and peer.machines[machine].lent
+            for peer in ctx.peers.values()
+        )
+
+    def _send_hires(self) -> None:
+        """Send what is recorded and not answered; a name gets the same answer again."""
+        ctx = self.ctx
+        for key, record in list(ctx.view.pools.items()):
+            build, _, kind = key.partition("/")
+            pool = PoolId(build, kind == "spot")
+            for hire in record.hires:
+                if hire.machines is None and hire.name not in self.asked:
+                    body = {
+                        "Hire": hire.name,
+                        "Build": build,
+                        "Site": hire.zone,
+                        "Loaners": pool.spot,
+                        "Count": hire.count,
+                    }
+                    if self._call("hire", body, (pool, hire)):
+                        self.asked.add(hire.name)
+                elif hire.machines is not None:
+                    for name in hire.machines:
+                        if name not in self.known and name not in self.returned:
+                            if ctx.wall - hire.at < 60.0 and self.lists < 3:
+                                self.known[name] = Known(
+                                    name,
+                                    build,
+                                    hire.zone,
+                                    pool.spot,
+                                    ctx.now - (ctx.wall - hire.at),
+                                )
+                    if ctx.wall - hire.at > 60.0:
+                        self._hire_edit(pool, hire.name, None)
+        live = {
+            name
+            for _, (verb, about) in self.calls.items()
+            if verb == "hire"
+            for name in [about[1].name]
+        }
+        self.asked &= live
+
+    # The control loop
+
+    def _plan(self, catalog: Catalog, elapsed: float) -> None:
+        ctx = self.ctx
+        for lane, seconds in ctx.finished:
+            self.runs.add(lane, seconds, ctx.now)
+        ctx.finished.clear()
+        losses = {pool: lost.rate(ctx.now) for pool, lost in self.losses.items()}
+        planner = Planner(catalog, self.runs, ctx.now, self.blocked, losses)
+        for known in self.known.values():
+            if known.id not in self.returning and known.pool in planner.pools:
+                planner.pools[known.pool].machines += 1
+        self._observe(planner)
+        for pool, demand in planner.pools.items():
+            self._steer(pool, demand, planner, elapsed)
+
+    def _observe(self, planner: Planner) -> None:
+        """Arrivals of the window, tasks in place, tasks that wait."""
+        ctx = self.ctx
+        teams = ctx.settings.params.teams
+        quota = Quota(teams, ctx.view.jobs.values())
+        for name, job in ctx.view.jobs.items():
+            if name not in self.arrivals and ctx.wall - job.at < WINDOW_S:
+                self.arrivals[name] = (job.at, job.spec)
+        for seen, (at, spec) in list(self.arrivals.items()):
+            if ctx.wall - at > WINDOW_S:
+                del self.arrivals[seen]
+            else:
+                planner.arrived(spec, min(spec.tasks, 200))
+        needs: list[Need] = []
+        for wait in self.leader.queue(quota):
+            spec = wait.job.spec
+            count = min(wait.job.waiting_count, self.leader.most_entries())
+            while count > 0 and not quota.fits(spec, count):
+                count = count - 1 if spec.shape == "array" else 0
+            if count <= 0:
+                continue
+            quota.take(spec, count)
+            zones: dict[str, int] = {}
+            for e in wait.job.entries:
+                zones[e.zone] = zones.get(e.zone, 0) + 1
+            needs.append(Need(spec, count, zones))
+        for machine, entries in ctx.view.by_machine().items():
+            known = self.known.get(machine)
+            if known is not None:
+                for job_id, _ in entries:
+                    planner.running(ctx.view.jobs[job_id].spec, known.pool)
+        planner.pack(needs, self._all_rooms())
+
+    def _all_rooms(self) -> list[Room]:
+        """Free room now, and the machines that are about to be up."""
+        ctx = self.ctx
+        rooms = [r for r in ctx.rooms() if r.id not in self.returning]
+        have = {r.id for r in rooms}
+        for known in self.known.values():
+            kind = ctx.kind(known.build)
+            if kind and known.id not in have and not known.up and known.id not in self.returning:
+                rooms.append(Room(known.id, kind, known.zone, known.spot, "", 0))
+        for room in rooms:
+            if room.lent and room.id in self.leader.wanted:
+                room.lent = False
+        return rooms
+
+    def _steer(self, pool: PoolId, demand: Any, planner: Planner, elapsed: float) -> None:
+        ctx = self.ctx
+        target = demand.target(ETA)
+        size = demand.machines * demand.k
+        booting = any(
+            not k.up and k.id not in self.returning for k in self.known.values() if k.pool == pool
+        )
+        error = target - size
+        last, integral = self.errors.get(pool, (0.0, 0.0))
+        result = step(error, last, integral, Gains(), hold=booting, clamp=float(demand.k))
+        self.errors[pool] = (error, result.integral)
+        lost = self.losses.get(pool)
+        extra = lost.due(ctx.now, elapsed, error > 0) if lost else 0
+        drive = result.drive
+        if target > 0 or demand.machines:
+            log.debug(
+                "pool %s: c*=%.1f c=%d u=%.1f arrivals=%.1f busy=%.1f queued=%.1f backlog=%.1f",
+                pool, target, size, drive, demand.arrivals, demand.busy, demand.queued,
+                demand.backlog,
+            )  # fmt: skip
+        if drive > 0.25 and error > 0:
+            want = max(math.ceil(drive / demand.k - 1e-6), extra)
+            self._rent(pool, demand, planner, want)
+        elif drive <= -demand.k and error <= -demand.k:
+            self._give_back(pool, int(-drive // demand.k))
+
+    def _rent(self, pool: PoolId, demand: Any, planner: Planner, want: int) -> None:
+        """Record hires for whole machines, split over zones by what asked for them."""
+        ctx = self.ctx
+        record = ctx.view.pools.get(str(pool), PoolRecord())
+        unanswered = sum(h.count for h in record.hires if h.machines is None)
+        want -= unanswered
+        if want <= 0 or ctx.queue.busy(pool_key(str(pool))):
+            return
+        zones = [
+            z
+            for z in demand.kind.zones
+            if self.blocked.get((pool.build, z, pool.spot), 0.0) <= ctx.now
+        ]
+        if not zones:
+            return
+        have = dict.fromkeys(zones, 0.0)
+        for known in self.known.values():
+            if known.pool == pool and known.zone in have and known.id not in self.returning:
+                have[known.zone] += 1
+        split = dict.fromkeys(zones, 0)
+        needs = {z: w / demand.k for z, w in demand.zones.items() if z in split}
+        for _ in range(want):
+            zone = max(needs, key=lambda z: needs[z]) if needs else ""
+            if not zone or needs[zone] <= 0:
+                zone = min(zones, key=lambda z: (have[z] + split[z], z))
+            else:
+                needs[zone] -= 1
+            split[zone] += 1
+        for zone, count in split.items():
+            if count:
+                self.hires += 1
+                name = f"r-{ctx.view.token}-{self.hires}"
+                log.info("rent %d of %s in %s (%s)", count, pool, zone, name)
+                self._hire_edit(pool, name, Hire(name, zone, pool.spot, min(count, 50), ctx.wall))
+
+    def _give_back(self, pool: PoolId, most: int) -> None:
+        """Return machines that are empty and have been for a while."""
+        ctx = self.ctx
+        rooms = {r.id: r for r in ctx.rooms()}
+        spare = [
+            k
+            for k in self.known.values()
+            if k.pool == pool
+            and k.id not in self.returning
+            and k.id in rooms
+            and rooms[k.id].tasks == 0
+            and ctx.now - rooms[k.id].idle_since > IDLE_S
+            and not ctx.view.on_machine(k.id)
+        ]
+        spare.sort(key=lambda k: rooms[k.id].idle_since)
+        for known in spare[:most]:
+            log.info("machine %s is spare in %s", known.id, pool)
+            self.returning[known.id] = "spare"
--- /dev/null
+++ b/coursefold/coordination/leader.py
@@ -0,0 +1,214 @@
+"""The leader's dealing: which waiting task goes to which owner, and gangs whole.
+
+The leader sees free room everywhere (entries of the records, siblings'
+summaries), keeps teams within their limits, orders the queue, and deals. An
+owner still chooses the machine in its part; the leader's choice is a hint. A
+gang's places are the leader's own decision, on machines lent by their owners.
+"""
+
+import logging
+
+from coursefold.coordination import gangs, jobs, preemption
+from coursefold.coordination.context import Context
+from coursefold.coordination.owner import Owner
+from coursefold.coordination.placement import Room, choose
+from coursefold.coordination.quota import Quota
+from coursefold.protocol.ids import JobId
+from coursefold.protocol.wire import RANKS
+from coursefold.storage.queue import Edit
+from coursefold.storage.records import DEALT, LIVE, JobRecord, job_key
+
+log = logging.getLogger(__name__)
+
+ENTRY_BYTES = 70
+RECORD_BYTES = 1500
+
+
+class Waiting:
+    """A job with tasks to deal, in queue order."""
+
+    __slots__ = ("job", "name", "order", "within")
+
+    def __init__(self, name: JobId, job: JobRecord, within: bool) -> None:
+        self.name, self.job, self.within = name, job, within
+        rank = RANKS[job.spec.rank]
+        due = job.at + job.spec.due if job.spec.due is not None else float("inf")
+        slack = due - job.spec.estimate if job.spec.due is not None else job.at + 3600.0
+        self.order = (0 if rank == 0 else 1 if within else 2, rank, slack, job.at, name)
+
+
+class Leader:
+    """Deals while this node leads."""
+
+    def __init__(self, ctx: Context, owner: Owner) -> None:
+        self.ctx, self.owner = ctx, owner
+        self.wanted: dict[str, float] = {}
+        self.reasons: dict[JobId, str] = {}
+        self.first_seen: dict[JobId, float] = {}
+        self.preemption = preemption.Preemption(ctx)
+
+    def most_entries(self) -> int:
+        """As many tasks at once as a record has room for."""
+        limit = self.ctx.settings.params.state.value_kb * 1024
+        return max(4, int((limit - RECORD_BYTES) / ENTRY_BYTES))
+
+    def queue(self, quota: Quota) -> list[Waiting]:
+        """Jobs that could start something now, the most pressing first."""
+        ctx = self.ctx
+        found = []
+        for name, job in ctx.view.jobs.items():
+            if job.status != LIVE or job.waiting_count <= 0:
+                continue
+            if job.retry_at > ctx.wall:
+                self.reasons[name] = "its tasks failed; it is tried again later"
+                continue
+            tasks = job.spec.tasks if job.spec.shape != "array" else 1
+            found.append(Waiting(name, job, quota.within_guarantee(job.spec, tasks)))
+        found.sort(key=lambda w: w.order)
+        return found
+
+    def tick(self) -> None:
+        ctx = self.ctx
+        if not ctx.leading():
+            self.wanted.clear()
+            return
+        self._undeal_lost()
+        self.reasons.clear()
+        quota = Quota(ctx.settings.params.teams, ctx.view.jobs.values())
+        for (name, index), (_, spec) in ctx.pending.items():
+            job = ctx.view.jobs.get(JobId(name))
+            if job is not None and not any(e.index == index for e in job.entries):
+                quota.take(spec, 1)
+        rooms = ctx.rooms()
+        for wait in self.queue(quota):
+            if wait.job.spec.shape == "ensemble" and wait.job.spec.tasks > 1:
+                self._gang(wait, rooms, quota)
+            else:
+                self._tasks(wait, rooms, quota)
+        for machine in [m for m, until in self.wanted.items() if until < ctx.now]:
+            del self.wanted[machine]
+
+    def _undeal_lost(self) -> None:
+        """Deals to owners that are no longer members go back into the queue."""
+        ctx = self.ctx
+        roster = ctx.view.roster
+        for name, job in ctx.view.jobs.items():
+            for e in job.entries:
+                if e.stage == DEALT and (roster is None or roster.member(e.owner) is None):
+                    ctx.queue.propose(
+                        Edit(
+                            job_key(name),
+                            jobs.undeal(e.index, e.owner),
+                            fence=ctx.view.token,
+                            tag=f"undeal{e.index}",
+                        )
+                    )
+
+    def _zones(self, job: JobRecord) -> dict[str, int]:
+        zones: dict[str, int] = {}
+        for e in job.entries:
+            zones[e.zone] = zones.get(e.zone, 0) + 1
+        return zones
+
+    def _tasks(self, wait: Waiting, rooms: list[Room], quota: Quota) -> None:
+        """Deal a job's waiting tasks one by one while room, limit and record allow."""
+        ctx = self.ctx
+        name, job = wait.name, wait.job
+        flying = {index for key, index in ctx.pending if key == name}
+        room_left = self.most_entries() - len(job.entries) - len(flying)
+        zones = self._zones(job)
+        if flying and (job.spec.apart or job.spec.together):
+            return  # zones of what is under way are not settled yet
+        for index in job.waiting(min(room_left, 60) + len(flying) if room_left > 0 else 0):
+            if index in flying:
+                continue
+            if not quota.fits(job.spec, 1):
+                self.reasons[name] = quota.why_not(job.spec)
+                return
+            room = choose(job.spec, rooms, zones)
+            if room is None:
+                self.reasons[name] = "waiting for room on a machine"
+                self.preemption.consider(wait.name, job, index, rooms, wait.within, quota)
+                return
+            room.take(job.spec)
+            quota.take(job.spec, 1)
+            zones[room.zone] = zones.get(room.zone, 0) + 1
+            if room.owner == ctx.me:
+                self.owner.propose_place(name, job, index, room.id, room.zone, room.session)
+            else:
+                self._deal(name, job, index, room)
+
+    def _deal(self, name: JobId, job: JobRecord, index: int, room: Room) -> None:
+        ctx = self.ctx
+        key = (name, index)
+        ctx.pending[key] = (room.id, job.spec)
+
+        def settled(ok: bool, why: str) -> None:
+            ctx.pending.pop(key, None)
+            log.debug("deal %s/%d to %s: %s", name, index, room.owner, why or "done")
+
+        edit = Edit(
+            job_key(name),
+            jobs.deal(index, room.owner, room.zone, room.id),
+            fence=ctx.view.token,
+            tag=f"deal{index}",
+            done=settled,
+        )
+        if not ctx.queue.propose(edit):
+            ctx.pending.pop(key, None)
+
+    def _gang(self, wait: Waiting, rooms: list[Room], quota: Quota) -> None:
+        """Place a whole gang; machines of other owners have to be lent first."""
+        ctx = self.ctx
+        name, job = wait.name, wait.job
+        if job.entries:
+            self.reasons[name] = "waiting for the former attempt's tasks to be gone"
+            return
+        if ctx.queue.busy(job_key(name)):
+            return
+        if not quota.fits(job.spec, job.spec.tasks):
+            self.reasons[name] = quota.why_not(job.spec)
+            return
+        usable = [r for r in rooms if not r.lent or r.id in self.wanted]
+        plan = gangs.fill(job.spec, usable)
+        if plan is None:
+            self.reasons[name] = f"waiting for room for {job.spec.tasks} tasks at once"
+            for room in gangs.reserve(job.spec, usable):
+                room.draining = True  # in this round only: keeps lesser work off
+                if room.owner != ctx.me and room.tasks == 0:
+                    self._want(room)
+            self.preemption.consider_gang(name, job, usable, wait.within)
+            return
+        for room in plan:
+            room.take(job.spec)
+            room.draining = True
+        quota.take(job.spec, job.spec.tasks)
+        missing = [r for r in plan if r.owner != ctx.me and not r.lent]
+        if missing:
+            self.reasons[name] = "waiting for machines to be lent"
+            for room in missing:
+                self._want(room)
+            return
+        places = [(r.owner, r.zone, r.id, r.session) for r in plan]
+
+        def settled(ok: bool, why: str) -> None:
+            for i in range(job.spec.tasks):
+                ctx.pending.pop((name, i), None)
+            log.info("gang %s on %s: %s", name, ",".join(r.id for r in plan), why or "placed")
+
+        for i, room in enumerate(plan):
+            ctx.pending[(name, i)] = (room.id, job.spec)
+        edit = Edit(
+            job_key(name),
+            jobs.place_gang(places),
+            fence=ctx.view.token,
+            tag="gang",
+            done=settled,
+        )
+        if not ctx.queue.propose(edit):
+            settled(False, "under way")
+
+    def _want(self, room: Room) -> None:
+        if room.id not in self.wanted:
+            self.ctx.tell = True
+        self.wanted[room.id] = self.ctx.now + 2.0
--- /dev/null
+++ b/coursefold/coordination/preemption.py
@@ -0,0 +1,142 @@
+"""Making room for more important work by stopping less important work.
+
+The stop is written to the victim's record first, with its grace for saving;
+the room counts as free only once the victim is proven gone.
+"""
+
+import logging
+
+from coursefold.coordination import jobs
+from coursefold.coordination.context import Context
+from coursefold.coordination.placement import Room, allowed
+from coursefold.coordination.quota import Quota
+from coursefold.protocol.ids import JobId
+from coursefold.protocol.wire import RANKS, Job
+from coursefold.storage.queue import Edit
+from coursefold.storage.records import LIVE, PLACED, STOPPING, Entry, JobRecord, job_key
+
+log = logging.getLogger(__name__)
+
+AGAIN_S = 12.0
+
+
+class Preemption:
+    """Chooses victims; one plan per waiting task until it had time to work."""
+
+    def __init__(self, ctx: Context) -> None:
+        self.ctx = ctx
+        self.plans: dict[tuple[str, int], float] = {}
+
+    def patience(self, spec: Job) -> float:
+        """Replicas wait for nothing; other work gives machines a while to free up."""
+        return 0.0 if spec.shape == "standing" else 8.0
+
+    def may(self, spec: Job, within: bool, victim: JobRecord, quota: Quota | None) -> bool:
+        """The protocol's rule: a lower rank, or another team's work beyond its guarantee."""
+        if RANKS[victim.spec.rank] > RANKS[spec.rank]:
+            return True
+        return (
+            within
+            and quota is not None
+            and victim.spec.team != spec.team
+            and not quota.within_guarantee(victim.spec, 0)
+            and bool(quota.teams[victim.spec.team].gpus or quota.teams[victim.spec.team].cpus)
+        )
+
+    def _ready(self, name: JobId, job: JobRecord, index: int) -> bool:
+        ctx = self.ctx
+        if ctx.wall - job.at < self.patience(job.spec):
+            return False
+        for key in [k for k, until in self.plans.items() if until < ctx.now]:
+            del self.plans[key]
+        return (name, index) not in self.plans
+
+    def victims(
+        self, room: Room, spec: Job, within: bool, quota: Quota | None
+    ) -> list[tuple[JobId, Entry]] | None:
+        """The fewest and cheapest tasks to stop on a machine, or None if that is not enough."""
+        ctx = self.ctx
+        on = [
+            (name, e, ctx.view.jobs[name])
+            for name, e in ctx.view.on_machine(room.id)
+            if (name, e.index) not in ctx.pending
+        ]
+        if any(e.stage == STOPPING for _, e, _ in on):
+            return None  # room is being made here already
+        able = [
+            (name, e, job)
+            for name, e, job in on
+            if e.stage == PLACED
+            and job.status == LIVE
+            and (job.spec.shape != "ensemble" or job.spec.tasks == 1)
+            and self.may(spec, within, job, quota)
+        ]
+        able.sort(key=lambda v: (v[2].spec.checkpoint <= 0, -RANKS[v[2].spec.rank], -v[2].at))
+        chosen: list[tuple[JobId, Entry]] = []
+        for name, e, job in able:
+            if room.holds(spec):
+                break
+            room.give(job.spec)
+            chosen.append((name, e))
+        enough = room.holds(spec)
+        for name, _ in chosen:
+            room.take(ctx.view.jobs[name].spec)
+        return chosen if enough and chosen else None
+
+    def consider(
+        self,
+        name: JobId,
+        job: JobRecord,
+        index: int,
+        rooms: list[Room],
+        within: bool,
+        quota: Quota | None,
+    ) -> None:
+        """Make room for one task, if stopping others can."""
+        if not self._ready(name, job, index):
+            return
+        best: list[tuple[JobId, Entry]] | None = None
+        for room in rooms:
+            if room.draining or room.lent or not allowed(job.spec, room):
+                continue
+            found = self.victims(room, job.spec, within, quota)
+            if found is not None and (best is None or len(found) < len(best)):
+                best = found
+        if best is not None:
+            self._stop(name, index, best)
+
+    def consider_gang(self, name: JobId, job: JobRecord, rooms: list[Room], within: bool) -> None:
+        """Make room for a gang: only if every missing place can be freed."""
+        if not self._ready(name, job, 0):
+            return
+        zones = sorted({r.zone for r in rooms}) if job.spec.together else [""]
+        for zone in zones:
+            chosen: list[tuple[JobId, Entry]] = []
+            places = 0
+            for room in sorted(rooms, key=lambda r: -r.left):
+                if (zone and room.zone != zone) or not allowed(job.spec, room):
+                    continue
+                if room.holds(job.spec):
+                    places += 1
+                elif places < job.spec.tasks:
+                    found = self.victims(room, job.spec, within, None)
+                    if found is not None:
+                        chosen.extend(found)
+                        places += 1
+            if places >= job.spec.tasks and chosen:
+                self._stop(name, 0, chosen)
+                return
+
+    def _stop(self, name: JobId, index: int, victims: list[tuple[JobId, Entry]]) -> None:
+        ctx = self.ctx
+        self.plans[(name, index)] = ctx.now + AGAIN_S
+        for victim, entry in victims:
+            log.info("stop %s/%d for %s", victim, entry.index, name)
+            ctx.queue.propose(
+                Edit(
+                    job_key(victim),
+                    jobs.stopping(entry.index, entry.attempt),
+                    fence=ctx.view.token,
+                    tag=f"stop{entry.index}",
+                )
+            )
--- /dev/null
+++ b/coursefold/coordination/quota.py
@@ -0,0 +1,59 @@
+"""Teams' limits and guarantees, counted from the job records.
+
+Everything counts that is dealt and not proven gone: a task whose machine is
+silent may still be running there.
+"""
+
+from collections.abc import Iterable
+
+from coursefold.protocol.wire import Job
+from coursefold.settings import Team
+from coursefold.storage.records import JobRecord
+
+SLACK = 1e-6
+
+
+class Quota:
+    """Use by team at one moment; `take` keeps it true within one round of decisions."""
+
+    def __init__(self, teams: Iterable[Team], jobs: Iterable[JobRecord]) -> None:
+        self.teams = {team.name: team for team in teams}
+        self.used: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
+        for job in jobs:
+            if job.entries:
+                self.take(job.spec, len(job.entries))
+
+    def take(self, spec: Job, tasks: int) -> None:
+        used = self.used.setdefault(spec.team, [0.0, 0.0])
+        used[0] += spec.cpus * tasks
+        used[1] += spec.gpus * tasks
+
+    def fits(self, spec: Job, tasks: int) -> bool:
+        """True if the team may use that much more."""
+        return limit_fits(self.teams.get(spec.team), spec, tasks, self.used.get(spec.team))
+
+    def within_guarantee(self, spec: Job, tasks: int) -> bool:
+        """True if the team's use with these tasks stays within its guarantee."""
+        team = self.teams.get(spec.team)
+        if team is None or not (team.cpus or team.gpus):
+            return False
+        cpus, gpus = self.used.get(spec.team, [0.0, 0.0])
+        return (not team.cpus or cpus + spec.cpus * tasks <= team.cpus + SLACK) and (
+            not team.gpus or gpus + spec.gpus * tasks <= team.gpus + SLACK
+        )
+
+    def why_not(self, spec: Job) -> str:
+        team = self.teams[spec.team]
+        if team.gpus_max and spec.gpus:
+            return f"team at its limit of {team.gpus_max:g} GPUs"
+        return f"team at its limit of {team.cpus_max:g} CPUs"
+
+
+def limit_fits(team: Team | None, spec: Job, tasks: int, used: list[float] | None = None) -> bool:
+    """True if `tasks` tasks on top of `used` stay within the team's limit."""
+    if team is None:
+        return False
+    cpus, gpus = used or (0.0, 0.0)
+    return (not team.cpus_max or cpus + spec.cpus * tasks <= team.cpus_max + SLACK) and (
+        not team.gpus_max or gpus + spec.gpus * tasks <= team.gpus_max + SLACK
+    )
--- /dev/null
+++ b/coursefold/protocol/wire.py
@@ -0,0 +1,219 @@
+"""Messages of users, workers, cloud and state service.
+
+Field names are the wire's own words; everything else in the program uses the
+field's standard terms. Strict types make msgspec's refusal the 400 that the
+protocol asks for, and its message names the field.
+"""
+
+import math
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+from coursefold.protocol.ids import is_job_id
+
+BODY_LIMIT = 64 * 1024
+U64 = Annotated[int, Meta(ge=0, lt=2**63)]
+Amount = Annotated[float, Meta(ge=0, le=1e12)]
+Text = Annotated[str, Meta(min_length=1, max_length=180)]
+Rank = Literal["prod", "urgent", "normal", "idle"]
+Shape = Literal["array", "ensemble", "standing"]
+RANKS: dict[str, int] = {"prod": 0, "urgent": 1, "normal": 2, "idle": 3}
+
+T = TypeVar("T")
+
+
+class Malformed(Exception):
+    """A body that earns a 400; the text names the field."""
+
+
+class Job(Struct, frozen=True):
+    """POST /work."""
+
+    name: Text = field(name="NameId")
+    lane: Text = field(name="Lane")
+    team: Text = field(name="Owner")
+    shape: Shape = field(name="Shape")
+    rank: Rank = field(name="Rank")
+    tasks: Annotated[int, Meta(ge=1, le=100_000)] = field(name="Pieces")
+    cpus: Amount = field(name="Vcpus")
+    gpus: Amount = field(name="Accelerators")
+    memory: Amount = field(name="MemoryGb")
+    image: Text = field(name="Bundle")
+    image_gb: Amount = field(name="ImageGb")
+    together: bool = field(name="Together")
+    apart: bool = field(name="Apart")
+    spot: bool = field(name="Loaners")
+    estimate: Amount = field(name="ExpectedS")
+    checkpoint: Amount = field(name="SnapshotEveryS")
+    save: Amount = field(name="SnapshotS")
+    builds: list[Text] | None = field(name="Builds", default=None)
+    zone: Text | None = field(name="Site", default=None)
+    due: Amount | None = field(name="DueS", default=None)
+
+
+class TaskReport(Struct, frozen=True):
+    task: str = field(name="Piece")
+    attempt: U64 = field(name="Try")
+    state: Literal["pulling", "gathering", "running", "flushing", "exited"] = field(name="Status")
+    cause: str | None = field(name="Cause", default=None)
+    kept: bool | None = field(name="Kept", default=None)
+
+
+class Report(Struct, frozen=True):
+    """POST /agent/beat, and the body that a worker returns."""
+
+    machine: Text = field(name="Box")
+    addr: str = field(name="Addr")
+    build: Text = field(name="Build")
+    zone: Text = field(name="Site")
+    spot: bool = field(name="Loaners")
+    session: U64 = field(name="Shift")
+    counter: U64 = field(name="Counter")
+    token: U64 = field(name="Baton")
+    tasks: list[TaskReport] = field(name="Pieces")
+    recall: Amount | None = field(name="RecallS", default=None)
+
+
+class Order(Struct, frozen=True, omit_defaults=True):
+    verb: Literal["run", "stop", "forget"] = field(name="Verb")
+    task: str = field(name="Piece")
+    attempt: int = field(name="Try")
+    grace: float | None = field(name="WindDownS", default=None)
+
+
+class Orders(Struct, frozen=True):
+    """The answer to a report."""
+
+    token: int = field(name="Baton")
+    orders: list[Order] = field(name="Orders")
+
+
+class DirectOrders(Struct, frozen=True):
+    """POST /orders."""
+
+    token: int = field(name="Baton")
+    session: int = field(name="Shift")
+    orders: list[Order] = field(name="Orders")
+
+
+class MachineType(Struct, frozen=True):
+    name: Text = field(name="Name")
+    cpus: Amount = field(name="Vcpus")
+    gpus: Amount = field(name="Accelerators")
+    memory: Amount = field(name="MemoryGb")
+    cache_gb: Amount = field(name="CacheGb")
+    fetch: Amount = field(name="FetchGbPerS")
+    price: Amount = field(name="Hourly")
+    spot_price: Amount = field(name="LowPrice")
+    boot: Amount = field(name="BootS")
+    zones: list[Text] = field(name="Sites")
+
+
+class Catalog(Struct, frozen=True):
+    builds: list[MachineType] = field(name="Builds")
+
+
+class HireRequest(Struct, frozen=True):
+    hire: str = field(name="Hire")
+    build: str = field(name="Build")
+    zone: str = field(name="Site")
+    spot: bool = field(name="Loaners")
+    count: int = field(name="Count")
+
+
+class Boxes(Struct, frozen=True):
+    machines: list[str] = field(name="Boxes")
+
+
+class Listed(Struct, frozen=True):
+    name: Text = field(name="NameId")
+    addr: str = field(name="Addr")
+    build: Text = field(name="Build")
+    zone: Text = field(name="Site")
+    spot: bool = field(name="Loaners")
+    status: str = field(name="Status")
+    held: Amount = field(name="HeldS", default=0.0)
+
+
+class MachineList(Struct, frozen=True):
+    machines: list[Listed] = field(name="Boxes")
+    more: bool = field(name="More", default=False)
+
+
+class KeyRow(Struct, frozen=True):
+    key: str = field(name="K")
+    value: Any = field(name="Value")
+    stamp: int = field(name="Stamp")
+
+
+class KeyRows(Struct, frozen=True):
+    rows: list[KeyRow] = field(name="Rows")
+    more: bool = field(name="More")
+    ledger: int = field(name="Ledger")
+
+
+class Ledger(Struct, frozen=True):
+    ledger: int = field(name="Ledger")
+
+
+class Conflict(Struct, frozen=True):
+    ledger: int = field(name="Ledger")
+    failed: list[str] = []
+
+
+class Lease(Struct, frozen=True):
+    permit: int = field(name="Permit")
+
+
+class NewsItem(Struct, frozen=True):
+    stamp: int = field(name="Stamp")
+    set: str | None = field(name="Set", default=None)
+    value: Any = field(name="Value", default=None)
+    remove: str | None = field(name="Remove", default=None)
+
+
+class News(Struct, frozen=True):
+    ledger: int = field(name="Ledger")
+    news: list[NewsItem] = field(name="News")
+
+
+def encode(value: object) -> bytes:
+    """MessagePack; `Any` values must be plain maps, lists, text, numbers."""
+    return msgspec.msgpack.encode(value)
+
+
+def decode(body: bytes, shape: type[T]) -> T:
+    """A body in the given shape, or Malformed with the field's name."""
+    try:
+        return msgspec.msgpack.decode(body, type=shape)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as wrong:
+        raise Malformed(str(wrong)) from None
+
+
+def _finite(message: Struct) -> None:
+    for info in msgspec.structs.fields(message):
+        value = getattr(message, info.name)
+        if isinstance(value, float) and not math.isfinite(value):
+            raise Malformed(f"not a finite number - at `$.{info.encode_name}`")
+
+
+def decode_job(body: bytes) -> Job:
+    """A submission, checked beyond its types."""
+    if len(body) > BODY_LIMIT:
+        raise Malformed("body over 64 KiB")
+    job = decode(body, Job)
+    _finite(job)
+    if not is_job_id(job.name):
+        raise Malformed("not a job id - at `$.NameId`")
+    return job
+
+
+def decode_report(body: bytes) -> Report:
+    """A worker's report, checked beyond its types."""
+    if len(body) > BODY_LIMIT:
+        raise Malformed("body over 64 KiB")
+    report = decode(body, Report)
+    _finite(report)
+    return report
--- /dev/null
+++ b/coursefold/settings.py
@@ -0,0 +1,161 @@
+"""The platform's settings file, read and checked before anything else happens."""
+
+import math
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+Positive = Annotated[float, Meta(gt=0, le=1e6)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+
+
+class SettingsError(Exception):
+    """One plain line: the file, the field, what is wrong with it."""
+
+
+class Sibling(Struct, frozen=True):
+    member: Name
+    zone: Name
+    peer_addr: str
+
+
+class Services(Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(Struct, frozen=True):
+    """Guarantee and limit; a limit of 0 means none."""
+
+    name: Name
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(Struct, frozen=True):
+    """One aim as the platform states it; `lane` is empty where it spans all classes."""
+
+    kind: str
+    lane: str = msgspec.field(default="", name="class")
+    within_s: float = 0.0
+    share: float = 0.0
+
+
+class Workers(Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class StateLimits(Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=2, le=10000)]
+
+
+class CloudLimits(Struct, frozen=True):
+    rps: Positive
+    list_lag_s: Amount
+
+
+class Resources(Struct, frozen=True):
+    cores: Positive
+    memory_mb: Positive
+    fd_limit: Annotated[int, Meta(ge=32, le=10_000_000)]
+
+
+class Params(Struct, frozen=True):
+    zones: list[Name]
+    teams: list[Team]
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    resources: Resources
+    skew_ms: Amount = 0.0
+    objectives: list[Objective] = []
+
+
+class Settings(Struct, frozen=True):
+    member: Name
+    zone: Name
+    listen: str
+    peer_listen: str
+    services: Services
+    params: Params
+    siblings: list[Sibling] = []
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """`10.0.0.1:8080` as host and port."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def _check(settings: Settings) -> None:
+    """What a type alone cannot say."""
+    addresses = {
+        "listen": settings.listen,
+        "peer_listen": settings.peer_listen,
+        "services.cloud": settings.services.cloud,
+        "services.state": settings.services.state,
+    }
+    for at, sibling in enumerate(settings.siblings):
+        addresses[f"siblings[{at}].peer_addr"] = sibling.peer_addr
+    for field, text in addresses.items():
+        try:
+            split_address(text)
+        except ValueError as wrong:
+            raise SettingsError(f"{field}: {wrong}") from None
+    if settings.zone not in settings.params.zones:
+        raise SettingsError(f"zone: {settings.zone!r} is not in params.zones")
+    names = [settings.member, *(s.member for s in settings.siblings)]
+    if len(set(names)) != len(names):
+        raise SettingsError("siblings: member names are not all different")
+    workers = settings.params.workers
+    if workers.lease_s <= workers.report_s:
+        raise SettingsError("params.workers.lease_s: must exceed report_s")
+    if workers.cancel_s <= workers.lease_s:
+        raise SettingsError("params.workers.cancel_s: must exceed lease_s")
+
+
+def _finite(value: object, path: str) -> None:
+    """TOML has `nan` and `inf`; no setting may be either."""
+    if isinstance(value, float) and not math.isfinite(value):
+        raise SettingsError(f"{path}: not a finite number")
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            _finite(inner, f"{path}.{key}" if path else str(key))
+    if isinstance(value, list):
+        for at, inner in enumerate(value):
+            _finite(inner, f"{path}[{at}]")
+
+
+def load(path: Path) -> Settings:
+    """Read and check a settings file; every fault is a SettingsError that names it."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+        _finite(raw, "")
+        settings = msgspec.convert(raw, Settings)
+        _check(settings)
+    except SettingsError as wrong:
+        raise SettingsError(f"{path}: {wrong}") from None
+    except OSError as wrong:
+        raise SettingsError(f"{path}: {wrong.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
+        raise SettingsError(f"{path}: not TOML: {wrong}") from None
+    except msgspec.ValidationError as wrong:
+        what, _, where = str(wrong).partition(" - at ")
+        where = where.strip("`").removeprefix("$.") or "top level"
+        raise SettingsError(f"{path}: {where}: {what}") from None
+    return settings
--- /dev/null
+++ b/coursefold/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept in the state service, and how it gets there."""
--- /dev/null
+++ b/coursefold/storage/queue.py
@@ -0,0 +1,308 @@
+"""The commit queue: edits in, transactions out.
+
+An edit is a function from the current record to the next one, so it can be
+tried again after a conflict and is dropped when it no longer applies. Edits of
+one key are applied together, and many keys share a transaction; leases,
+cancellations and accepts come before everything else. The queue does no I/O:
+`next_batch` gives what to send, `finished` takes what came of it.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from msgspec import Struct
+
+from coursefold.protocol.ids import Moment
+from coursefold.storage import records
+from coursefold.storage.records import JobRecord
+from coursefold.storage.view import View
+
+log = logging.getLogger(__name__)
+
+FIRST, SOON, LATER = 0, 1, 2
+
+
+class Void(Exception):
+    """Raised by an edit that no longer applies; its text says why."""
+
+
+class Remove(NamedTuple):
+    """An edit's result: the key goes."""
+
+
+class End(NamedTuple):
+    """An edit's result: the job is over, its record becomes a final one."""
+
+    ending: records.Ending
+
+
+Result = Struct | Remove | End
+Change = Callable[[Struct | None], Result]
+
+
+class Edit:
+    """One change of one key. `fenced` edits hold only under the roster they were made for."""
+
+    __slots__ = ("change", "done", "fence", "key", "permit", "rank", "tag", "tries")
+
+    def __init__(
+        self,
+        key: str,
+        change: Change,
+        *,
+        rank: int = SOON,
+        fence: int | None = None,
+        done: Callable[[bool, str], None] | None = None,
+        permit: int | None = None,
+        tag: str = "",
+    ) -> None:
+        self.key = key
+        self.change = change
+        self.rank = rank
+        self.fence = fence
+        self.done = done
+        self.permit = permit
+        self.tag = tag
+        self.tries = 0
+
+    def settle(self, ok: bool, why: str = "") -> None:
+        if self.done is not None:
+            self.done(ok, why)
+
+
+class Batch(NamedTuple):
+    """A transaction under way."""
+
+    body: dict[str, Any]
+    results: dict[str, Result]
+    edits: list[Edit]
+    writes: int
+
+
+class Budget:
+    """A token bucket; local, for nodes share the service's rate without asking each other."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate, self.burst = rate, burst
+        self.level, self.at = burst, Moment(0.0)
+
+    def fill(self, now: Moment) -> float:
+        if now > self.at:
+            self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+            self.at = now
+        return self.level
+
+    def take(self, now: Moment, amount: float) -> None:
+        self.fill(now)
+        self.level -= amount
+
+
+class CommitQueue:
+    """Edits waiting and under way."""
+
+    def __init__(self, view: View, *, txn_ops: int, value_kb: float, write_rps: float) -> None:
+        self.view = view
+        self.txn_ops = txn_ops
+        self.value_limit = int(value_kb * 1024)
+        self.waiting: dict[str, list[Edit]] = {}
+        self.flying: set[str] = set()
+        self.stale: set[str] = set()
+        self.budget = Budget(write_rps * 0.8, max(2.0, write_rps * 0.6))
+        self.pause_until = Moment(0.0)
+        self.tags: set[tuple[str, str]] = set()
+
+    def propose(self, edit: Edit) -> bool:
+        """Queue an edit; False if one with the same tag waits already."""
+        if edit.tag:
+            if (edit.key, edit.tag) in self.tags:
+                return False
+            self.tags.add((edit.key, edit.tag))
+        self.waiting.setdefault(edit.key, []).append(edit)
+        return True
+
+    def busy(self, key: str) -> bool:
+        """True while edits of the key wait or fly."""
+        return key in self.waiting or key in self.flying
+
+    def _settle(self, edit: Edit, ok: bool, why: str = "") -> None:
+        if edit.tag:
+            self.tags.discard((edit.key, edit.tag))
+        edit.settle(ok, why)
+
+    def stale_keys(self) -> list[str]:
+        """Keys to be read again before they can be written."""
+        return sorted(self.stale)
+
+    def refreshed(self, key: str) -> None:
+        self.stale.discard(key)
+
+    def _build(self, key: str, edits: list[Edit]) -> tuple[list[Edit], Result | None]:
+        """Apply a key's edits to its record; those that do not apply are settled.
+
+        An edit that fails only because of another in the same transaction waits
+        for the outcome: a second cancellation must not be answered "cancelled"
+        before the first one is written.
+        """
+        held = self.view.held.get(key)
+        current: Struct | None = held.record if held else None
+        kept: list[Edit] = []
+        deferred: list[Edit] = []
+        result: Result | None = None
+        for edit in edits:
+            if isinstance(result, (End, Remove)):
+                deferred.append(edit)
+                continue
+            if edit.fence is not None and edit.fence != self.view.token:
+                self._settle(edit, False, "fenced")
+                continue
+            try:
+                outcome = edit.change(current)
+            except Void as void:
+                if kept:
+                    deferred.append(edit)
+                else:
+                    self._settle(edit, False, str(void) or "void")
+                continue
+            if isinstance(outcome, JobRecord):
+                value = records.dump(outcome)
+                if records.size(value) > self.value_limit:
+                    self._settle(edit, False, "too large")
+                    continue
+            result = outcome
+            if isinstance(outcome, Struct):
+                current = outcome
+            kept.append(edit)
+        if deferred:
+            self.waiting[key] = deferred
+        return kept, result
+
+    def next_batch(self, now: Moment) -> Batch | None:
+        """The next transaction, or None if nothing can go now."""
+        if now < self.pause_until or not self.waiting:
+            return None
+        ready = [k for k in self.waiting if k not in self.flying and k not in self.stale]
+        if not ready:
+            return None
+        ready.sort(key=lambda k: min(e.rank for e in self.waiting[k]))
+        room = min(self.txn_ops, int(self.budget.fill(now)))
+        fence: int | None = None
+        guards: dict[str, int] = {}
+        then: list[dict[str, Any]] = []
+        results: dict[str, Result] = {}
+        taken: list[Edit] = []
+        weight = 0
+        for key in ready:
+            if len(then) + 2 > room:
+                break
+            edits = self.waiting[key]
+            fences = {e.fence for e in edits if e.fence is not None and e.fence == self.view.token}
+            if taken and bool(fences) != (fence is not None):
+                continue
+            del self.waiting[key]
+            edits, result = self._build(key, edits)
+            if result is None:
+                continue
+            ops, value_size = self._ops(key, result, edits[-1].permit)
+            if then and weight + value_size > 48 * 1024:
+                self.waiting[key] = [*edits, *self.waiting.get(key, [])]
+                break
+            weight += value_size + 200
+            guards[key] = self.view.stamp(key)
+            if key.startswith(records.JOBS) and guards[key] == 0:
+                # An accept must not bring back a job that is over.
+                guards[key.replace(records.JOBS, records.ENDINGS, 1)] = 0
+            for e in edits:
+                if e.fence is not None:
+                    fence = e.fence
+            then.extend(ops)
+            results[key] = result
+            taken.extend(edits)
+        if not then:
+            return None
+        if fence is not None:
+            guards[records.ROSTER] = fence
+        self.budget.take(now, len(then))
+        self.flying.update(results)
+        body = {"Guards": [{"K": k, "Stamp": s} for k, s in guards.items()], "Then": then}
+        return Batch(body, results, taken, len(then))
+
+    def _ops(
+        self, key: str, result: Result, permit: int | None
+    ) -> tuple[list[dict[str, Any]], int]:
+        if isinstance(result, Remove):
+            return [{"Remove": key}], 100
+        if isinstance(result, End):
+            ending = key.replace(records.JOBS, records.ENDINGS, 1)
+            value = records.dump(result.ending)
+            return [{"Remove": key}, {"Set": ending, "Value": value}], 200
+        value = records.dump(result)
+        op: dict[str, Any] = {"Set": key, "Value": value}
+        if permit is not None:
+            op["Permit"] = permit
+        return [op], records.size(value)
+
+    def applied(self, batch: Batch, ledger: int) -> None:
+        """The transaction was carried out at this revision."""
+        for key, result in batch.results.items():
+            self.flying.discard(key)
+            if isinstance(result, (Remove, End)):
+                self.view.drop(key, ledger)
+            elif ledger > self.view.stamp(key):
+                self.view.keep(key, result, ledger)
+        for edit in batch.edits:
+            self._settle(edit, True)
+
+    def conflicted(self, batch: Batch, failed: list[str]) -> None:
+        """Nothing was carried out: read the failed keys again, then try the edits again."""
+        self.stale.update(k.replace(records.ENDINGS, records.JOBS, 1) for k in failed)
+        self._again(batch, most=8)
+
+    def refused(self, batch: Batch, now: Moment, pause: float) -> None:
+        """Nothing was carried out (429, 503): the same again after a pause."""
+        self.pause_until = Moment(now + pause)
+        self._again(batch, most=1000)
+
+    def unknown(self, batch: Batch, now: Moment, pause: float) -> None:
+        """No answer: it may have been carried out, or may yet be; read again first."""
+        self.stale.update(batch.results)
+        self.pause_until = Moment(now + pause)
+        self._again(batch, most=1000)
+
+    def invalid(self, batch: Batch) -> None:
+        """Refused as malformed: trying again would not help."""
+        for key in batch.results:
+            self.flying.discard(key)
+        self.stale.update(batch.results)
+        for edit in batch.edits:
+            self._settle(edit, False, "refused")
+
+    def _again(self, batch: Batch, most: int) -> None:
+        for key in batch.results:
+            self.flying.discard(key)
+        for edit in reversed(batch.edits):
+            edit.tries += 1
+            if edit.tries > most:
+                self._settle(edit, False, "conflicts")
+            else:
+                self.waiting.setdefault(edit.key, []).insert(0, edit)
+
+    def over(self, key: str) -> None:
+        """The key's job has an ending: nothing waiting for it applies any more."""
+        self.stale.discard(key)
+        for edit in self.waiting.pop(key, []):
+            self._settle(edit, False, "over")
+
+    def abandon(self, edit_done: Callable[[Edit], bool]) -> None:
+        """Settle the waiting edits that the caller no longer wants."""
+        for key in list(self.waiting):
+            keep = []
+            for edit in self.waiting[key]:
+                if edit_done(edit):
+                    self._settle(edit, False, "abandoned")
+                else:
+                    keep.append(edit)
+            if keep:
+                self.waiting[key] = keep
+            else:
+                del self.waiting[key]
--- /dev/null
+++ b/coursefold/storage/records.py
@@ -0,0 +1,233 @@
+"""The records of the state service, and their codec.
+
+Structs are encoded as lists, for values are limited to a few KiB and every
+change of a job writes its record whole. A job's record is small while it lives
+and becomes a tiny `Ending` under another prefix when it is over, so that a
+starting node reads live jobs only and ended ones take no memory.
+"""
+
+from typing import Any, TypeVar
+
+import msgspec
+from msgspec import Struct
+
+from coursefold.protocol.ids import JobId, Key, Member
+from coursefold.protocol.wire import Catalog, Job
+
+ROOT = "cf/"
+ROSTER = Key("cf/roster")
+CATALOG = Key("cf/catalog")
+JOBS = "cf/j/"
+ENDINGS = "cf/e/"
+MEMBERS = "cf/m/"
+POOLS = "cf/p/"
+
+DEALT, PLACED, STOPPING = 0, 1, 2
+LIVE, CANCELLED, DONE = 0, 1, 2
+STATUS = {LIVE: "pending", CANCELLED: "cancelled", DONE: "done"}
+
+T = TypeVar("T")
+
+
+def job_key(job: JobId) -> Key:
+    return Key(JOBS + job)
+
+
+def ending_key(job: JobId) -> Key:
+    return Key(ENDINGS + job)
+
+
+def member_key(member: Member) -> Key:
+    return Key(MEMBERS + member)
+
+
+def pool_key(build: str) -> Key:
+    return Key(POOLS + build)
+
+
+class MemberRecord(Struct, array_like=True, frozen=True):
+    """A live controller; attached to its lease, which is its incarnation."""
+
+    name: str
+    permit: int
+    zone: str
+
+
+class Roster(Struct, array_like=True, frozen=True):
+    """Who leads and who owns machines; this key's Stamp is the token."""
+
+    leader: str
+    members: list[MemberRecord]
+
+    def member(self, name: str) -> MemberRecord | None:
+        return next((m for m in self.members if m.name == name), None)
+
+
+class Entry(Struct, array_like=True, frozen=True):
+    """A task that is dealt to an owner or has a place not yet proven gone."""
+
+    index: int
+    stage: int
+    attempt: int
+    owner: str
+    zone: str = ""
+    machine: str = ""
+    session: int = 0
+
+
+class JobRecord(Struct, array_like=True, frozen=True):
+    """An accepted job that is not over, or cancelled with tasks not yet proven gone."""
+
+    spec: Job
+    at: float
+    status: int = LIVE
+    attempt: int = 0
+    entries: list[Entry] = []
+    done: list[tuple[int, int]] = []
+    errors: int = 0
+    retry_at: float = 0.0
+
+    @property
+    def done_count(self) -> int:
+        return sum(high - low + 1 for low, high in self.done)
+
+    def is_done(self, index: int) -> bool:
+        return any(low <= index <= high for low, high in self.done)
+
+    def waiting(self, most: int) -> list[int]:
+        """The first indices that are neither done nor in an entry."""
+        taken = {entry.index for entry in self.entries}
+        found: list[int] = []
+        index = 0
+        for low, high in [*self.done, (self.spec.tasks, self.spec.tasks)]:
+            while index < low and len(found) < most:
+                if index not in taken:
+                    found.append(index)
+                index += 1
+            if len(found) >= most:
+                break
+            index = high + 1
+        return found
+
+    @property
+    def waiting_count(self) -> int:
+        return self.spec.tasks - self.done_count - len(self.entries)
+
+
+class Ending(Struct, array_like=True, frozen=True):
+    """What is kept of an ended job for good."""
+
+    status: int
+    tasks: int
+
+
+class Hire(Struct, array_like=True, frozen=True):
+    """A rental, recorded before it is sent; `machines` is None until answered."""
+
+    name: str
+    zone: str
+    spot: bool
+    count: int
+    at: float
+    machines: list[str] | None = None
+
+
+class PoolRecord(Struct, array_like=True, frozen=True):
+    """One pool of alike machines: target, integral, rentals, returns under way."""
+
+    target: float = 0.0
+    integral: float = 0.0
+    hires: list[Hire] = []
+    returning: list[str] = []
+
+
+def add_done(done: list[tuple[int, int]], index: int) -> list[tuple[int, int]]:
+    """The ranges with one more index, merged and in order."""
+    merged: list[tuple[int, int]] = []
+    for low, high in sorted([*done, (index, index)]):
+        if merged and low <= merged[-1][1] + 1:
+            merged[-1] = (merged[-1][0], max(high, merged[-1][1]))
+        else:
+            merged.append((low, high))
+    return merged
+
+
+class _Spec(Struct, array_like=True, frozen=True):
+    """A job's description without field names."""
+
+    name: str
+    lane: str
+    team: str
+    shape: str
+    rank: str
+    tasks: int
+    cpus: float
+    gpus: float
+    memory: float
+    image: str
+    image_gb: float
+    together: bool
+    apart: bool
+    spot: bool
+    estimate: float
+    checkpoint: float
+    save: float
+    builds: list[str] | None
+    zone: str | None
+    due: float | None
+
+
+class _Job(Struct, array_like=True, frozen=True):
+    spec: _Spec
+    at: float
+    status: int
+    attempt: int
+    entries: list[Entry]
+    done: list[tuple[int, int]]
+    errors: int = 0
+    retry_at: float = 0.0
+
+
+def _plain(job: Job) -> _Spec:
+    return _Spec(*(getattr(job, name) for name in _Spec.__struct_fields__))
+
+
+def _rich(spec: _Spec) -> Job:
+    return Job(**{name: getattr(spec, name) for name in _Spec.__struct_fields__})
+
+
+def dump(record: Struct) -> Any:
+    """A record as plain data for the wire."""
+    if isinstance(record, JobRecord):
+        rest = (getattr(record, name) for name in _Job.__struct_fields__[1:])
+        record = _Job(_plain(record.spec), *rest)
+    return msgspec.to_builtins(record)
+
+
+SHAPES: dict[str, type[Struct]] = {
+    JOBS: _Job,
+    ENDINGS: Ending,
+    MEMBERS: MemberRecord,
+    POOLS: PoolRecord,
+}
+
+
+def parse(key: str, value: Any) -> Struct | None:
+    """The record at a key, or None where the key is not ours."""
+    if key == ROSTER:
+        return msgspec.convert(value, Roster)
+    if key == CATALOG:
+        return msgspec.convert(value, Catalog)
+    for prefix, shape in SHAPES.items():
+        if key.startswith(prefix):
+            record = msgspec.convert(value, shape)
+            if isinstance(record, _Job):
+                rest = (getattr(record, name) for name in _Job.__struct_fields__[1:])
+                return JobRecord(_rich(record.spec), *rest)
+            return record
+    return None
+
+
+def size(value: Any) -> int:
+    """Bytes of a value in JSON form, which is how the limits count."""
+    return len(msgspec.json.encode(value))
--- /dev/null
+++ b/coursefold/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: tornado servers and clients, pacing and deadlines."""
--- /dev/null
+++ b/coursefold/transport/peers.py
@@ -0,0 +1,87 @@
+"""Frames between controllers: four bytes of length, then protobuf."""
+
+import asyncio
+import logging
+import random
+import struct
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from coursefold.settings import split_address
+
+log = logging.getLogger(__name__)
+
+FRAME_LIMIT = 256 * 1024
+IDLE_S = 30.0
+STUCK_S = 2.0
+
+
+class PeerServer(TCPServer):
+    """Takes siblings' frames; a length out of bounds ends the connection."""
+
+    def __init__(self, listen: str, take: Callable[[bytes], None]) -> None:
+        super().__init__(max_buffer_size=2 * FRAME_LIMIT)
+        self.take = take
+        host, port = split_address(listen)
+        self.listen(port, host)
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        try:
+            while True:
+                async with asyncio.timeout(IDLE_S):
+                    head = await stream.read_bytes(4)
+                    (length,) = struct.unpack(">I", head)
+                    if not 0 < length <= FRAME_LIMIT:
+                        log.error("peer frame of %d bytes from %s dropped", length, address[0])
+                        break
+                    frame = await stream.read_bytes(length)
+                self.take(frame)
+        except (StreamClosedError, TimeoutError, OSError):
+            pass
+        finally:
+            stream.close()
+
+
+class PeerLink:
+    """Our connection to one sibling; only the newest summary matters."""
+
+    def __init__(
+        self, member: str, address: str, newest: Callable[[], bytes], period: float
+    ) -> None:
+        self.member, self.newest, self.period = member, newest, period
+        self.host, self.port = split_address(address)
+        self.wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """Connect, send, and connect again with a growing, jittered pause."""
+        pause = 0.2
+        while True:
+            try:
+                async with asyncio.timeout(STUCK_S):
+                    stream = await TCPClient().connect(self.host, self.port)
+                stream.set_nodelay(True)
+                pause = 0.2
+                try:
+                    await self._send(stream)
+                finally:
+                    stream.close()
+            except (StreamClosedError, TimeoutError, OSError) as wrong:
+                log.debug("peer link to %s: %s", self.member, wrong or type(wrong).__name__)
+            await asyncio.sleep(pause * random.uniform(0.5, 1.5))
+            pause = min(2.0, pause * 2)
+
+    async def _send(self, stream: IOStream) -> None:
+        while True:
+            self.wake.clear()
+            frame = self.newest()
+            async with asyncio.timeout(STUCK_S):
+                await stream.write(struct.pack(">I", len(frame)) + frame)
+            try:
+                async with asyncio.timeout(self.period):
+                    await self.wake.wait()
+                await asyncio.sleep(0.02)
+            except TimeoutError:
+                pass
--- /dev/null
+++ b/coursefold/transport/state.py
@@ -0,0 +1,139 @@
+"""Client of the state service: leases, follow, commits, reads."""
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
+
+from coursefold.protocol.ids import Moment
+from coursefold.protocol.wire import (
+    Conflict,
+    KeyRow,
+    KeyRows,
+    Lease,
+    Ledger,
+    Malformed,
+    News,
+    decode,
+    encode,
+)
+from coursefold.storage.queue import Budget
+from coursefold.transport.http_client import HttpClient, NoAnswer
+
+log = logging.getLogger(__name__)
+
+REQUEST_S = 1.5
+ANSWERS = frozenset({200, 400, 404, 409, 410})
+
+
+class Unavailable(Exception):
+    """503, 429 or no answer; `executed` is True if it may have been carried out."""
+
+    def __init__(self, why: str, status: int) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Outcome(NamedTuple):
+    """A commit's answer."""
+
+    ok: bool
+    ledger: int
+    failed: list[str]
+    malformed: bool = False
+
+
+class StateClient:
+    """The state service by its protocol, within this node's share of its rate."""
+
+    def __init__(
+        self, address: str, rps: float, clock: Callable[[], Moment], heard: Callable[[Moment], None]
+    ) -> None:
+        self.http = HttpClient(address, connections=8)
+        self.watch = HttpClient(address, connections=1)
+        self.clock, self.heard = clock, heard
+        self.budget = Budget(rps * 0.5, rps * 0.4)
+
+    async def _ask(
+        self, method: str, path: str, body: Any = None, timeout: float = REQUEST_S,
+        client: HttpClient | None = None,
+    ) -> tuple[int, bytes]:  # fmt: skip
+        sent = self.clock()
+        self.budget.take(sent, 1.0)
+        payload = None if body is None else encode(body)
+        try:
+            status, answer = await (client or self.http).fetch(method, path, payload, timeout)
+        except NoAnswer as wrong:
+            raise Unavailable(str(wrong), 0) from None
+        if status not in ANSWERS:
+            raise Unavailable(f"{method} {path}: {status}", status)
+        self.heard(sent)
+        return status, answer
+
+    def room(self) -> bool:
+        """False when users' reads should be refused to leave room for our own needs."""
+        return self.budget.fill(self.clock()) >= 1.0
+
+    async def grant(self, life_ms: int) -> int:
+        status, answer = await self._ask("POST", "/leases", {"LifeMs": life_ms})
+        if status != 200:
+            raise Unavailable(f"lease: {status}", status)
+        return int(self._decode(answer, Lease).permit)
+
+    async def touch(self, permit: int) -> bool:
+        """True if the lease lives; False if it has ended."""
+        status, _ = await self._ask("POST", f"/leases/{permit}/touch", {})
+        return status == 200
+
+    async def get(self, key: str) -> KeyRow | None:
+        status, answer = await self._ask("GET", f"/keys/{key}")
+        return self._decode(answer, KeyRow) if status == 200 else None
+
+    async def rows(self, prefix: str) -> tuple[list[KeyRow], int]:
+        """Every key with the prefix, and a revision that the listing is at least as new as."""
+        found: list[KeyRow] = []
+        after = ""
+        first = 0
+        while True:
+            query = {"Prefix": prefix, "Page": "1000"}
+            if after:
+                query["From"] = after
+            status, answer = await self._ask("GET", "/keys?" + urlencode(query, safe="/"))
+            if status != 200:
+                raise Unavailable(f"keys: {status}", status)
+            page = self._decode(answer, KeyRows)
+            first = first or page.ledger
+            found.extend(page.rows)
+            if not page.more or not page.rows:
+                return found, first
+            after = page.rows[-1].key
+
+    async def follow(self, prefix: str, since: int, wait_ms: int) -> News | None:
+        """Changes after a revision; None if it is too old."""
+        query = urlencode({"Prefix": prefix, "From": since, "WaitMs": wait_ms}, safe="/")
+        status, answer = await self._ask(
+            "GET", "/follow?" + query, None, wait_ms / 1000 + 2.0, self.watch
+        )
+        return self._decode(answer, News) if status == 200 else None
+
+    async def commit(self, body: dict[str, Any]) -> Outcome:
+        status, answer = await self._ask("POST", "/commit", body)
+        if status == 200:
+            return Outcome(True, self._decode(answer, Ledger).ledger, [])
+        if status == 409:
+            conflict = self._decode(answer, Conflict)
+            return Outcome(False, conflict.ledger, conflict.failed)
+        log.error("commit refused: %d %r", status, answer[:200])
+        return Outcome(False, 0, [], malformed=True)
+
+    @staticmethod
+    def _decode(answer: bytes, shape: Any) -> Any:
+        try:
+            return decode(answer, shape)
+        except Malformed as wrong:
+            raise Unavailable(f"answer not readable: {wrong}", 0) from None
+
+
+def jitter(pause: float) -> float:
+    return pause * random.uniform(0.6, 1.4)
