--- a/coursefold/cli.py
+++ b/coursefold/cli.py
@@ -1,24 +1,41 @@
-"""The command line."""
+"""The command line: the service itself, checks, and a client for users."""
 
 import logging
 import os
 import sys
 from pathlib import Path
+from typing import Any, NoReturn
 
 import click
 
 from coursefold import __version__
-from coursefold.settings import Settings, SettingsError, load
+from coursefold.settings import Settings, SettingsError, load, split_address
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+POLICY_VARIABLE = "COURSEFOLD_POLICY"
+file_argument = click.Path(path_type=Path)
+
+
+def _fail(message: object, code: int) -> NoReturn:
+    print(f"coursefold: {message}", file=sys.stderr)
+    raise SystemExit(code)
 
 
 def _settings(path: Path) -> Settings:
     try:
         return load(path)
     except SettingsError as wrong:
-        print(f"coursefold: {wrong}", file=sys.stderr)
-        raise SystemExit(2) from None
+        _fail(wrong, 2)
+
+
+def _policy(path: Path) -> Any:
+    from coursefold.policy.language import PolicyError  # lark only where a policy is read
+    from coursefold.policy.language import load as load_policy
+
+    try:
+        return load_policy(path)
+    except PolicyError as wrong:
+        _fail(wrong, 2)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -28,24 +45,113 @@
 
 
 @main.command()
-@click.option("--config", required=True, type=click.Path(path_type=Path), help="Settings (TOML).")
-def serve(config: Path) -> None:
+@click.option("--config", required=True, type=file_argument, help="Settings (TOML).")
+@click.option("--policy", type=file_argument, envvar=POLICY_VARIABLE, help="Operators' policy.")
+def serve(config: Path, policy: Path | None) -> None:
     """Run a controller until it is killed."""
     settings = _settings(config)
+    rules = _policy(policy) if policy is not None else None
     level = os.environ.get("LOG_LEVEL", "info")
     logging.basicConfig(
         level=LEVELS.get(level, logging.INFO),
         stream=sys.stderr,
         format="%(levelname)s %(name)s: %(message)s",
     )
-    from coursefold.service import run  # tornado is imported only when it is needed
+    from coursefold.service import run  # tornado only where it is needed
 
-    run(settings)
+    run(settings, rules)
 
 
 @main.command("check-config")
-@click.argument("config", type=click.Path(path_type=Path))
+@click.argument("config", type=file_argument)
 def check_config(config: Path) -> None:
     """Check a settings file; exit code 2 names the first fault."""
     settings = _settings(config)
     click.echo(f"{config}: ok, {settings.member} with {len(settings.siblings)} siblings")
+
+
+@main.command("check-policy")
+@click.argument("policy", type=file_argument)
+def check_policy(policy: Path) -> None:
+    """Check a policy file; exit code 2 names line, column and fault."""
+    rules = _policy(policy)
+    click.echo(f"{policy}: ok, {len(rules.rules)} rules")
+    for name, value in rules.parameters._asdict().items():
+        click.echo(f"  {name} = {value:g}")
+
+
+def _address(ctx: click.Context, param: click.Parameter, value: str) -> str:
+    try:
+        split_address(value)
+    except ValueError as wrong:
+        raise click.BadParameter(str(wrong)) from None
+    return value
+
+
+node_option = click.option(
+    "--node",
+    default="127.0.0.1:8080",
+    show_default=True,
+    callback=_address,
+    help="Controller or load balancer, HOST:PORT.",
+)
+
+
+def _ask(node: str, method: str, path: str, body: dict[str, Any] | None = None) -> dict[str, Any]:
+    """One request; anything but a success ends the command with a plain line."""
+    from coursefold.client import Refused, ask
+
+    try:
+        return ask(node, method, path, body)
+    except Refused as wrong:
+        _fail(wrong, 1)
+
+
+def _show(answer: dict[str, Any]) -> None:
+    line = f"{answer.get('NameId')}: {answer.get('Status')}"
+    if "done" in answer:
+        line += f", {answer['done']} done, {answer['running']} running"
+    click.echo(line)
+
+
+@main.command()
+@click.argument("description", type=file_argument)
+@node_option
+def submit(description: Path, node: str) -> None:
+    """Submit the job described in a TOML or JSON file (fields as on the wire)."""
+    from coursefold.client import BadDescription, read_description
+
+    try:
+        body = read_description(description)
+    except BadDescription as wrong:
+        _fail(wrong, 2)
+    _show(_ask(node, "POST", "/work", body))
+
+
+@main.command()
+@click.argument("job")
+@node_option
+def show(job: str, node: str) -> None:
+    """Show a job's state."""
+    _show(_ask(node, "GET", f"/work/{job}"))
+
+
+@main.command()
+@click.argument("job")
+@node_option
+def cancel(job: str, node: str) -> None:
+    """Cancel a job."""
+    _show(_ask(node, "POST", f"/work/{job}/cancel", {}))
+
+
+@main.command()
+@click.argument("job")
+@node_option
+def explain(job: str, node: str) -> None:
+    """Say why a job waits, in plain words."""
+    answer = _ask(node, "GET", f"/work/{job}")
+    _show(answer)
+    if answer.get("reason"):
+        click.echo(f"  {answer['reason']}")
+    elif answer.get("Status") == "pending":
+        click.echo("  it is about to be placed")
--- /dev/null
+++ b/coursefold/client.py
@@ -0,0 +1,59 @@
+"""Requests of the command line to a controller."""
+
+import asyncio
+import json
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from coursefold.protocol.wire import encode
+from coursefold.transport.http_client import HttpClient, NoAnswer
+
+TIMEOUT_S = 5.0
+
+
+class Refused(Exception):
+    """One plain line of why there is no success."""
+
+
+class BadDescription(Exception):
+    """A job description that can't be read."""
+
+
+def read_description(path: Path) -> dict[str, Any]:
+    """A job's fields from TOML, or JSON where the name ends in .json."""
+    try:
+        text = path.read_text(encoding="utf-8")
+        body = json.loads(text) if path.suffix == ".json" else tomllib.loads(text)
+    except OSError as wrong:
+        raise BadDescription(f"{path}: {wrong.strerror}") from None
+    except ValueError as wrong:
+        raise BadDescription(f"{path}: {wrong}") from None
+    if not isinstance(body, dict):
+        raise BadDescription(f"{path}: not a table of fields")
+    return body
+
+
+def ask(node: str, method: str, path: str, body: dict[str, Any] | None = None) -> dict[str, Any]:
+    """The answer of a successful request."""
+
+    async def once() -> tuple[int, bytes]:
+        payload = None if body is None else encode(body)
+        return await HttpClient(node, 1).fetch(method, path, payload, TIMEOUT_S)
+
+    try:
+        status, raw = asyncio.run(once())
+    except NoAnswer as wrong:
+        raise Refused(f"{node} does not answer: {wrong}") from None
+    try:
+        answer = msgspec.msgpack.decode(raw)
+    except msgspec.MsgspecError:
+        answer = {}
+    if not isinstance(answer, dict):
+        answer = {}
+    if status not in (200, 201):
+        why = answer.get("error") or "no reason given"
+        raise Refused(f"{status}: {why}")
+    return answer
--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -3,6 +3,7 @@
 from coursefold.coordination.effects import Effect
 from coursefold.coordination.parts import owner
 from coursefold.coordination.placement import Room
+from coursefold.policy import Policy
 from coursefold.protocol.ids import Member, Moment, WallTime
 from coursefold.protocol.wire import Job, MachineType, TaskReport
 from coursefold.settings import Settings
@@ -69,12 +70,16 @@
         self.machines: dict[str, PeerMachine] = {}
         self.wanted: frozenset[str] = frozenset()
         self.complaints: frozenset[str] = frozenset()
+        self.reasons: dict[str, str] = {}
 
 
 class Context:
     """State shared by election, owners, the leader and the fleet."""
 
-    def __init__(self, settings: Settings, view: View, queue: CommitQueue) -> None:
+    def __init__(
+        self, settings: Settings, view: View, queue: CommitQueue, policy: Policy | None = None
+    ) -> None:
+        self.policy = policy or Policy()
         self.settings, self.view, self.queue = settings, view, queue
         self.me = Member(settings.member)
         self.now, self.wall = Moment(0.0), WallTime(0.0)
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -17,6 +17,7 @@
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import fits_type
 from coursefold.coordination.quota import limit_fits
+from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, Moment, WallTime, is_job_id
 from coursefold.protocol.wire import Job, Malformed, decode_job, decode_report
 from coursefold.settings import Settings
@@ -33,13 +34,13 @@
 class Core:
     """One controller's state machine."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, policy: Policy | None = None) -> None:
         state = settings.params.state
         self.view = View()
         self.queue = CommitQueue(
             self.view, txn_ops=state.txn_ops, value_kb=state.value_kb, write_rps=state.write_rps
         )
-        self.ctx = Context(settings, self.view, self.queue)
+        self.ctx = Context(settings, self.view, self.queue, policy)
         self.election = Election(self.ctx)
         self.owner = Owner(self.ctx, self.election)
         self.leader = Leader(self.ctx, self.owner)
@@ -77,7 +78,9 @@
 
     def summary(self) -> bytes:
         """The frame for our siblings."""
-        return summary.build(self.ctx, set(self.leader.wanted), self.election.complaints())
+        return summary.build(
+            self.ctx, set(self.leader.wanted), self.election.complaints(), self.leader.reasons
+        )
 
     def peer(self, frame: bytes) -> None:
         summary.take(self.ctx, frame)
@@ -254,11 +257,22 @@
             "done": job.done_count,
             "running": running if job.status == records.LIVE else 0,
         }
-        reason = self.leader.reasons.get(JobId(name))
-        if reason and not running:
+        reason = self._reason(name)
+        if reason and job.status == records.LIVE and job.waiting_count > 0:
             body["reason"] = reason
         return body
 
+    def _reason(self, name: str) -> str:
+        """Why the job waits, by the leader's word."""
+        ctx = self.ctx
+        if ctx.leading():
+            return self.leader.reasons.get(JobId(name), "")
+        roster = self.view.roster
+        peer = ctx.peers.get(roster.leader) if roster else None
+        if peer is None or ctx.now - peer.at > 5.0:
+            return "nobody leads at the moment"
+        return peer.reasons.get(name, "")
+
     def forget_ticket(self, ticket: int) -> None:
         """The asker has gone or was told to come back."""
         self.asking.pop(ticket, None)
--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -15,7 +15,6 @@
 from coursefold.protocol.wire import Catalog, Job, MachineType
 
 WINDOW_S = 60.0
-ARRIVALS_S = 150.0
 HISTORY_S = 1800.0
 DEFAULT_RUN_S = 60.0
 MIN_RUN_S = 1.0
@@ -70,8 +69,8 @@
 class PoolDemand:
     """What one pool is asked for, in slots."""
 
-    def __init__(self, kind: MachineType, spot: bool) -> None:
-        self.kind, self.spot = kind, spot
+    def __init__(self, kind: MachineType, spot: bool, window: float) -> None:
+        self.kind, self.spot, self.window = kind, spot, window
         self.k = slots(kind)
         self.arrivals = 0.0
         self.work = 0.0
@@ -103,7 +102,7 @@
 
     def target(self, eta: float) -> float:
         """c*: the optimum of cost against wait, and the raises."""
-        rate = self.arrivals / ARRIVALS_S
+        rate = self.arrivals / self.window
         base = float(optimum(rate, 1 / self.mean_run, self.price, eta)) if rate else 0.0
         return max(base + self.service, self.busy + self.queued + max(self.backlog, self.gang))
 
@@ -127,11 +126,13 @@
         now: float,
         blocked: dict[tuple[str, str, bool], float],
         losses: dict[PoolId, float],
+        window: float,
     ) -> None:
+        self.window = window
         self.catalog, self.runs, self.now = catalog, runs, now
         self.blocked, self.losses = blocked, losses
         self.pools = {
-            PoolId(kind.name, spot): PoolDemand(kind, spot)
+            PoolId(kind.name, spot): PoolDemand(kind, spot, window)
             for kind in catalog.builds
             for spot in (False, True)
         }
@@ -163,7 +164,7 @@
             w = weight(spec, demand.kind)
             take = left
             if not self.open_zones(pool, spec) and at + 1 < len(choices):
-                able = demand.machines * demand.k * ARRIVALS_S / max(run, 1.0)
+                able = demand.machines * demand.k * self.window / max(run, 1.0)
                 take = min(left, max(0.0, able - demand.arrivals) / w)
             demand.arrivals += take * w
             demand.work += take * w * run
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -16,7 +16,7 @@
 
 from coursefold.coordination import jobs
 from coursefold.coordination.context import DRIFT, Context
-from coursefold.coordination.demand import ARRIVALS_S, Need, Planner, PoolId, Runs
+from coursefold.coordination.demand import Need, Planner, PoolDemand, PoolId, Runs
 from coursefold.coordination.effects import CloudCall
 from coursefold.coordination.leader import Leader
 from coursefold.coordination.parts import owner as owner_of
@@ -24,6 +24,8 @@
 from coursefold.coordination.placement import Room
 from coursefold.coordination.quota import Quota
 from coursefold.coordination.stability import Losses
+from coursefold.policy import Adjustment
+from coursefold.policy.model import Env
 from coursefold.protocol.wire import Boxes, Catalog, Job, MachineList, Malformed, decode
 from coursefold.storage import records
 from coursefold.storage.queue import LATER, Budget, Edit, Result, Void
@@ -31,13 +33,10 @@
 
 log = logging.getLogger(__name__)
 
-PERIOD_S = 2.0
 LIST_S = 3.0
 CATALOG_S = 45.0
-IDLE_S = 20.0
 BLOCK_S = 12.0
 SILENT_S = 45.0
-ETA = 0.0005
 
 
 class Known:
@@ -67,6 +66,8 @@
 
     def __init__(self, ctx: Context, leader: Leader) -> None:
         self.ctx, self.leader = ctx, leader
+        self.parameters = ctx.policy.parameters
+        self.gains = Gains(self.parameters.kp, self.parameters.ki, self.parameters.kd)
         self.reign = 0
         cloud = ctx.settings.params.cloud
         self.budget = Budget(cloud.rps * 0.8, max(1.0, cloud.rps))
@@ -95,6 +96,7 @@
         self.runs = self.leader.runs = Runs()
         self.arrivals: dict[str, tuple[float, Job]] = {}
         self.asked: set[str] = set()
+        self.fired: dict[PoolId, tuple[str, ...]] = {}
         self.calls.clear()
 
     # Calls to the cloud
@@ -257,9 +259,15 @@
         if ctx.view.catalog is None:
             return
         self._watch()
+        self.leader.booting = [
+            (k.build, k.zone, k.spot)
+            for k in self.known.values()
+            if not k.up and k.id not in self.returning
+        ]
+        self.leader.blocked = {spot for spot, until in self.blocked.items() if until > ctx.now}
         self._send_hires()
         self._send_returns()
-        if ctx.now - self.plan_at >= PERIOD_S and self.lists > 0:
+        if ctx.now - self.plan_at >= self.parameters.period and self.lists > 0:
             elapsed = min(10.0, ctx.now - self.plan_at)
             self.plan_at = ctx.now
             self._plan(ctx.view.catalog, elapsed)
@@ -367,7 +375,9 @@
     def _count_loss(self, known: Known, lost: bool) -> None:
         """What is silent when a reign begins was lost, or returned, before it."""
         if lost and known.up and self.ctx.now - self.ctx.token_since > 10.0:
-            self.losses.setdefault(known.pool, Losses()).lost(self.ctx.now)
+            self.losses.setdefault(known.pool, Losses(self.parameters.loss_window)).lost(
+                self.ctx.now
+            )
 
     def _lose(self, known: Known) -> None:
         self.known.pop(known.id, None)
@@ -440,7 +450,9 @@
             self.runs.add(lane, seconds, ctx.now)
         ctx.finished.clear()
         losses = {pool: lost.rate(ctx.now) for pool, lost in self.losses.items()}
-        planner = Planner(catalog, self.runs, ctx.now, self.blocked, losses)
+        planner = Planner(
+            catalog, self.runs, ctx.now, self.blocked, losses, self.parameters.arrivals_window
+        )
         for known in self.known.values():
             if known.id not in self.returning and not known.lost and known.pool in planner.pools:
                 planner.pools[known.pool].machines += 1
@@ -459,10 +471,10 @@
         teams = ctx.settings.params.teams
         quota = Quota(teams, ctx.view.jobs.values())
         for name, job in ctx.view.jobs.items():
-            if name not in self.arrivals and ctx.wall - job.at < ARRIVALS_S:
+            if name not in self.arrivals and ctx.wall - job.at < self.parameters.arrivals_window:
                 self.arrivals[name] = (job.at, job.spec)
         for seen, (at, spec) in list(self.arrivals.items()):
-            if ctx.wall - at > ARRIVALS_S:
+            if ctx.wall - at > self.parameters.arrivals_window:
                 del self.arrivals[seen]
             else:
                 planner.arrived(spec, min(spec.tasks, 200))
@@ -500,16 +512,16 @@
                 room.lent = False
         return rooms
 
-    def _steer(self, pool: PoolId, demand: Any, planner: Planner, elapsed: float) -> None:
+    def _steer(self, pool: PoolId, demand: PoolDemand, planner: Planner, elapsed: float) -> None:
         ctx = self.ctx
-        target = demand.target(ETA)
+        target = demand.target(self.parameters.eta)
         size = demand.machines * demand.k
         booting = any(
             not k.up and k.id not in self.returning for k in self.known.values() if k.pool == pool
         )
         error = target - size
         last, integral = self.errors.get(pool, (0.0, 0.0))
-        result = step(error, last, integral, Gains(), hold=booting, clamp=float(demand.k))
+        result = step(error, last, integral, self.gains, hold=booting, clamp=float(demand.k))
         self.errors[pool] = (error, result.integral)
         lost = self.losses.get(pool)
         extra = lost.due(ctx.now, elapsed, error > 0) if lost else 0
@@ -520,14 +532,55 @@
                 pool, target, size, drive, demand.arrivals, demand.busy, demand.queued,
                 demand.backlog,
             )  # fmt: skip
+        ruled = self._ruled(pool, demand, target, lost)
         if drive > 0.25 and error > 0:
             # Whole machines; the integral's small share alone does not rent one more.
-            want = max(1, math.ceil(drive / demand.k - 0.25), extra)
-            self._rent(pool, demand, planner, want)
+            want = max(1, math.ceil(drive / demand.k - 0.25), extra) + max(0, ruled.recruit)
         elif drive <= -demand.k and error <= -demand.k:
-            self._give_back(pool, int(-drive // demand.k))
+            want = -int(-drive // demand.k) + ruled.recruit
+        else:
+            want = ruled.recruit
+        want = max(want, ruled.at_least - demand.machines)
+        if ruled.at_most is not None:
+            want = min(want, ruled.at_most - demand.machines)
+        if want > 0:
+            self._rent(pool, demand, planner, want)
+        elif want < 0:
+            self._give_back(pool, -want)
+
+    def _ruled(
+        self, pool: PoolId, demand: PoolDemand, target: float, lost: Losses | None
+    ) -> Adjustment:
+        """What the operators' rules ask of this pool; said once when it changes."""
+        ctx = self.ctx
+        if not ctx.policy.rules:
+            return Adjustment()
+        waits = [
+            ctx.now - room.idle_since
+            for room in ctx.rooms()
+            if (room.kind.name, room.spot) == pool and room.tasks == 0
+        ]
+        env: Env = {
+            "lambda": demand.arrivals / demand.window,
+            "mu": 1 / demand.mean_run,
+            "c": float(demand.machines * demand.k),
+            "cstar": target,
+            "busy": demand.busy,
+            "queue": demand.queued + demand.backlog + demand.gang,
+            "machines": float(demand.machines),
+            "price": demand.price * 3600.0,
+            "losses": lost.rate(ctx.now) * 3600.0 if lost else 0.0,
+            "idle": max(waits, default=0.0),
+            "spot": pool.spot,
+            "pool": str(pool),
+        }
+        adjustment = ctx.policy.adjust(env)
+        if adjustment.fired != self.fired.get(pool, ()):
+            self.fired[pool] = adjustment.fired
+            log.info("pool %s: rules in force: %s", pool, ", ".join(adjustment.fired) or "none")
+        return adjustment
 
-    def _rent(self, pool: PoolId, demand: Any, planner: Planner, want: int) -> None:
+    def _rent(self, pool: PoolId, demand: PoolDemand, planner: Planner, want: int) -> None:
         """Record hires for whole machines, split over zones by what asked for them."""
         ctx = self.ctx
         if want <= 0 or ctx.queue.busy(pool_key(str(pool))):
@@ -570,7 +623,7 @@
             and k.id not in self.returning
             and k.id in rooms
             and rooms[k.id].tasks == 0
-            and ctx.now - rooms[k.id].idle_since > IDLE_S
+            and ctx.now - rooms[k.id].idle_since > self.parameters.idle
             and not ctx.view.on_machine(k.id)
         ]
         spare.sort(key=lambda k: rooms[k.id].idle_since)
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -42,6 +42,9 @@
         self.ctx, self.owner = ctx, owner
         self.wanted: dict[str, float] = {}
         self.reasons: dict[JobId, str] = {}
+        self.short: set[JobId] = set()
+        self.booting: list[tuple[str, str, bool]] = []
+        self.blocked: set[tuple[str, str, bool]] = set()
         self.told: dict[JobId, str] = {}
         self.runs = Runs()
         self.ordering = Ordering(ctx.settings.params.objectives)
@@ -77,6 +80,7 @@
             return
         self._undeal_lost()
         self.reasons.clear()
+        self.short.clear()
         quota = Quota(ctx.settings.params.teams, ctx.view.jobs.values())
         for (name, index), (_, spec) in ctx.pending.items():
             job = ctx.view.jobs.get(JobId(name))
@@ -97,6 +101,9 @@
                 self._serve(wait, rooms, quota)
         for machine in [m for m, until in self.wanted.items() if until < ctx.now]:
             del self.wanted[machine]
+        for wait in queue:
+            if wait.order.late and wait.name in self.reasons:
+                self.reasons[wait.name] += "; it is late for its aims"
         self._tell_reasons()
 
     def _serve(self, wait: Waiting, rooms: list[Room], quota: Quota) -> bool:
@@ -105,7 +112,29 @@
             self._gang(wait, rooms, quota)
         else:
             self._tasks(wait, rooms, quota)
-        return "room" not in self.reasons.get(wait.name, "")
+        return wait.name not in self.short
+
+    def _why_no_room(self, job: JobRecord) -> str:
+        """In a user's words: machines are booting, the cloud is empty, or all are busy."""
+        spec = job.spec
+
+        def fits(place: tuple[str, str, bool]) -> bool:
+            build, zone, spot = place
+            return (
+                (spec.builds is None or build in spec.builds)
+                and (spec.zone is None or spec.zone == zone)
+                and (spec.spot or not spot)
+            )
+
+        booting = [place for place in self.booting if fits(place)]
+        if booting:
+            zones = {zone for _, zone, _ in booting}
+            where = f" in {zones.pop()}" if len(zones) == 1 else ""
+            count = "a machine" if len(booting) == 1 else f"{len(booting)} machines"
+            return f"waiting for {count} to boot{where}"
+        if any(fits(place) for place in self.blocked):
+            return "waiting for room on a machine: the cloud has no more of some kinds"
+        return "waiting for room on a machine"
 
     def _tell_reasons(self) -> None:
         """Log why a job waits, once it has waited a while and whenever the reason changes."""
@@ -157,7 +186,8 @@
                 return
             room = choose(job.spec, rooms, zones, avoid=job.failed_on)
             if room is None:
-                self.reasons[name] = "waiting for room on a machine"
+                self.short.add(name)
+                self.reasons[name] = self._why_no_room(job)
                 self.preemption.consider(wait.name, job, index, rooms, wait.within, quota)
                 return
             room.take(job.spec)
@@ -203,7 +233,8 @@
         usable = [r for r in rooms if not r.lent or r.id in self.wanted]
         plan = gangs.fill(job.spec, usable)
         if plan is None:
-            self.reasons[name] = f"waiting for room for {job.spec.tasks} tasks at once"
+            self.short.add(name)
+            self.reasons[name] = f"{self._why_no_room(job)} ({job.spec.tasks} tasks at once)"
             for room in gangs.reserve(job.spec, usable):
                 room.draining = True  # in this round only: keeps lesser work off
                 if room.owner != ctx.me and room.tasks == 0:
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -10,13 +10,17 @@
 
 from coursefold.coordination.context import Context, PeerMachine, PeerView
 from coursefold.protocol import peer_pb2
+from coursefold.protocol.ids import JobId
 
 log = logging.getLogger(__name__)
 
 VERSION = 1
 
 
-def build(ctx: Context, wanted: set[str], complaints: set[str]) -> bytes:
+REASONS = 200
+
+
+def build(ctx: Context, wanted: set[str], complaints: set[str], reasons: dict[JobId, str]) -> bytes:
     """This node's summary for its siblings."""
     out = peer_pb2.Envelope(version=VERSION, sender=ctx.me, sent_at=ctx.wall)
     body = out.summary
@@ -45,7 +49,9 @@
                 idle=idle,
                 idle_s=max(0.0, ctx.now - m.idle_since) if idle else 0.0,
             )
-    if not ctx.leading():
+    if ctx.leading():
+        body.reasons.update(dict(list(reasons.items())[:REASONS]))
+    else:
         for lane, seconds in ctx.finished[:100]:
             body.finished.add(lane=lane, seconds=seconds, tasks=1)
         ctx.finished.clear()
@@ -81,6 +87,7 @@
         view.machines[item.id] = machine
     view.wanted = frozenset(body.wanted)
     view.complaints = frozenset(body.complaints)
+    view.reasons = dict(body.reasons)
     ctx.peers[envelope.sender] = view
     for done in body.finished:
         ctx.finished.append((done.lane, done.seconds))
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -10,6 +10,7 @@
 
 from coursefold.coordination.core import Core
 from coursefold.coordination.effects import Answer, CloudCall, Read, Tell
+from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, Moment, WallTime
 from coursefold.protocol.wire import KeyRow, encode
 from coursefold.settings import Settings
@@ -36,9 +37,9 @@
 class Service:
     """The running controller."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, policy: Policy | None = None) -> None:
         self.settings = settings
-        self.core = Core(settings)
+        self.core = Core(settings, policy)
         params = settings.params
         self.state = StateClient(settings.services.state, params.state.rps, now, self._state_heard)
         self.cloud = HttpClient(settings.services.cloud, connections=4)
@@ -376,12 +377,12 @@
         self._flush()
 
 
-def run(settings: Settings) -> None:
+def run(settings: Settings, policy: Policy | None = None) -> None:
     """Start the service, or say in one line why it cannot start."""
 
     async def main() -> None:
         try:
-            service = Service(settings)
+            service = Service(settings, policy)
         except OSError as wrong:
             print(f"coursefold: cannot listen: {wrong}", file=sys.stderr)
             raise SystemExit(1) from None
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -11,6 +11,7 @@
     roster n1 b                                 n1 of zone b takes over alone
     restart                                     n0 is killed and starts again
     holds job-1/0 i-1 / holds job-1/0 nothing   the record's entry for a task
+    reason job-1                                why a poll says that the job waits
     called hire 2 / returned i-1                what the cloud was asked for
 """
 
@@ -140,6 +141,10 @@
     def do_returned(self, words: list[str]) -> str:
         return " ".join(sorted(set(self.world.returned))) or "nothing"
 
+    def do_reason(self, words: list[str]) -> str:
+        answer = self.world.poll(words[0])
+        return str(answer.body.get("reason", "none")) if answer else "nothing"
+
     def do_hires(self, words: list[str]) -> str:
         """How many names were used for hires, and how many machines they asked for."""
         asked = {b["Hire"]: b["Count"] for verb, b in self.world.calls if verb == "hire"}
