--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -2,7 +2,7 @@
 
 from coursefold.coordination.effects import Effect
 from coursefold.coordination.parts import owner
-from coursefold.coordination.placement import Room
+from coursefold.coordination.placement import Market, Room
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, Member, Moment, WallTime
 from coursefold.protocol.wire import Catalog, Job, MachineType, TaskReport
@@ -11,6 +11,7 @@
 from coursefold.storage.records import MemberRecord, Roster
 from coursefold.storage.view import View
 
+MARKET_S = 3.0
 OWNERS = 20_000  # machines whose owner is remembered
 DRIFT = 1.002  # two clocks may each be off by 0.05%; this is twice that and more
 
@@ -116,6 +117,8 @@
         self._owners_at = -1
         self._kinds: dict[str, MachineType] = {}
         self._kinds_of: Catalog | None = None
+        self._market = Market()
+        self._market_at = -1e9
 
     @property
     def roster(self) -> Roster | None:
@@ -169,6 +172,14 @@
             self._kinds = {t.name: t for t in catalog.builds} if catalog else {}
         return self._kinds.get(build)
 
+    def market(self) -> Market:
+        """By one job of each class; looked at anew now and then."""
+        catalog = self.view.catalog
+        if catalog is not None and self.now - self._market_at > MARKET_S:
+            lanes = {job.spec.lane: job.spec for job in self.view.jobs.values()}
+            self._market, self._market_at = Market(catalog.builds, lanes.values()), self.now
+        return self._market
+
     def room(self, id: str) -> Room | None:
         """One machine of our part, if it can take tasks."""
         m = self.machines.get(id)
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -8,6 +8,8 @@
 import logging
 from typing import Any
 
+import msgspec
+
 from coursefold.coordination import jobs, summary
 from coursefold.coordination.context import Context
 from coursefold.coordination.effects import Answer, Effect, Read, Tell, Vouch
@@ -31,6 +33,7 @@
 
 STATE_SILENCE_S = 3.0
 SWEEP = 8  # endings moved together
+BUILDS = 8
 ASKING = 2000  # questions that may wait at once
 
 
@@ -189,6 +192,11 @@
             else:
                 self._ask(ticket, "submit", spec.name, None)
 
+        catalog = self.view.catalog
+        if spec.builds is not None and len(spec.builds) > BUILDS and catalog is not None:
+            # A record has room for a job's description, not for any number of unknown types.
+            known = [k.name for k in catalog.builds if k.name in spec.builds]
+            spec = msgspec.structs.replace(spec, builds=known)
         change = jobs.accept(spec, self.ctx.wall)
         self.queue.propose(Edit(job_key(JobId(spec.name)), change, rank=FIRST, done=settled))
 
--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -10,7 +10,15 @@
 from typing import NamedTuple
 
 from coursefold.coordination import gangs
-from coursefold.coordination.placement import Picker, Refused, Room, fits_type, share
+from coursefold.coordination.placement import (
+    NO_MARKET,
+    Market,
+    Picker,
+    Refused,
+    Room,
+    fits_type,
+    share,
+)
 from coursefold.coordination.queueing import optimum
 from coursefold.protocol.wire import Catalog, Job, MachineType
 
@@ -145,8 +153,9 @@
         blocked: dict[tuple[str, str, bool], float],
         losses: dict[PoolId, float],
         window: float,
+        market: Market = NO_MARKET,
     ) -> None:
-        self.window = window
+        self.window, self.market = window, market
         self.refused = Refused()
         self.catalog, self.runs, self.now = catalog, runs, now
         self.blocked, self.losses = blocked, losses
@@ -163,7 +172,8 @@
         for pool, demand in self.pools.items():
             if fits_type(spec, demand.kind) and (spec.spot or not pool.spot):
                 loss = self.losses.get(pool, 0.0)
-                found.append((effective_price(spec, demand.kind, pool.spot, run, loss), pool))
+                price = effective_price(spec, demand.kind, pool.spot, run, loss)
+                found.append((price + self.market.displaced(spec, demand.kind), pool))
         return [pool for _, pool in sorted(found)]
 
     def open_zones(self, pool: PoolId, spec: Job) -> list[str]:
@@ -211,7 +221,11 @@
                 self._pack_gang(need, rooms)
                 continue
             zones = dict(need.zones)
-            picker = None if self.refused.covers(spec) else Picker(spec, rooms, zones)
+            picker = (
+                None
+                if self.refused.covers(spec)
+                else Picker(spec, rooms, zones, market=self.market)
+            )
             for done in range(need.tasks):
                 room = picker.take() if picker else None
                 if room is None:
@@ -253,7 +267,7 @@
             demand.service += w
 
     def _pack_gang(self, need: Need, rooms: list[Room]) -> None:
-        plan = gangs.fill(need.spec, [r for r in rooms if not r.lent])
+        plan = gangs.fill(need.spec, [r for r in rooms if not r.lent], self.market)
         if plan is not None:
             for room in plan:
                 room.take(need.spec)
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -488,8 +488,9 @@
         ctx.finished.clear()
         losses = {pool: lost.rate(ctx.now) for pool, lost in self.losses.items()}
         planner = Planner(
-            catalog, self.runs, ctx.now, self.blocked, losses, self.parameters.arrivals_window
-        )
+            catalog, self.runs, ctx.now, self.blocked, losses, self.parameters.arrivals_window,
+            ctx.market(),
+        )  # fmt: skip
         for known in self.known.values():
             if (
                 known.id not in self.returning
--- a/coursefold/coordination/gangs.py
+++ b/coursefold/coordination/gangs.py
@@ -1,45 +1,54 @@
 """Gangs: all places at once, or none."""
 
-from coursefold.coordination.placement import Room, allowed, fetch_time, zone_limit
+from coursefold.coordination.placement import (
+    NO_MARKET,
+    Market,
+    Room,
+    allowed,
+    cost,
+    zone_limit,
+)
 from coursefold.protocol.wire import Job
 
 
-def fill(spec: Job, rooms: list[Room]) -> list[Room] | None:
+def fill(spec: Job, rooms: list[Room], market: Market = NO_MARKET) -> list[Room] | None:
     """Rooms for all tasks, one for each (a room may serve several), or None.
 
-    With `Together` each zone is tried; the plan whose slowest image fetch is
-    shortest wins, for a gang starts with its last task.
+    With `Together` each zone is tried; the plan whose worst place is best wins, for
+    a gang starts with its last task and runs as fast as its slowest machine.
     """
     usable = [r for r in rooms if not r.draining and allowed(spec, r)]
     zones = sorted({r.zone for r in usable}) if spec.together else [""]
+    costs = {r.id: cost(spec, r, market) for r in usable if r.holds(spec)}
+    ranked = sorted((r for r in usable if r.id in costs), key=lambda r: costs[r.id])
     best: tuple[float, list[Room]] | None = None
     for zone in zones:
-        plan = _fill([r for r in usable if not zone or r.zone == zone], spec)
+        plan = _fill([r for r in ranked if not zone or r.zone == zone], spec)
         if plan is not None:
-            slowest = max(fetch_time(spec, r) for r in plan)
-            if best is None or slowest < best[0]:
-                best = (slowest, plan)
+            worst = max(costs[r.id][0] for r in plan)
+            if best is None or worst < best[0]:
+                best = (worst, plan)
     return best[1] if best else None
 
 
-def _fill(rooms: list[Room], spec: Job) -> list[Room] | None:
+def _fill(ranked: list[Room], spec: Job) -> list[Room] | None:
     limit = zone_limit(spec)
     by_zone: dict[str, int] = {}
     plan: list[Room] = []
-    taken: list[Room] = []
-    ranked = sorted(
-        rooms, key=lambda r: (fetch_time(spec, r), spec.spot and not r.spot, r.left, r.id)
-    )
+    before: dict[str, dict[str, float]] = {}
     for room in ranked:
         while len(plan) < spec.tasks and room.holds(spec):
             if limit is not None and by_zone.get(room.zone, 0) >= limit:
                 break
+            before.setdefault(room.id, room.fetching)
             room.take(spec)
-            taken.append(room)
             plan.append(room)
             by_zone[room.zone] = by_zone.get(room.zone, 0) + 1
-    for room in taken:
+        if len(plan) == spec.tasks:
+            break
+    for room in plan:
         room.give(spec)
+        room.fetching = before[room.id]
     return plan if len(plan) == spec.tasks else None
 
 
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -11,7 +11,7 @@
 from coursefold.coordination import gangs, jobs, preemption
 from coursefold.coordination.context import Context
 from coursefold.coordination.demand import Runs
-from coursefold.coordination.ordering import Order, Ordering
+from coursefold.coordination.ordering import LONG_S, Order, Ordering
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import Picker, Refused, Room
 from coursefold.coordination.quota import Quota
@@ -69,6 +69,8 @@
         self.runs = Runs()
         self.ordering = Ordering(ctx.settings.params.objectives)
         self.preemption = preemption.Preemption(ctx)
+        self.first: JobId | None = None
+        self.up: set[str] = set()
         self.flying: dict[JobId, set[int]] = {}
         self.refused = Refused()
         self.gangs_refused: dict[tuple[object, ...], int] = {}
@@ -83,6 +85,7 @@
         """Jobs that could start something now, the most pressing first."""
         ctx = self.ctx
         found = []
+        self.first = self._longest()
         for name, job in ctx.view.waiting.items():
             if job.retry_at > ctx.wall:
                 self.reasons[name] = "its tasks failed; it is tried again later"
@@ -90,10 +93,22 @@
             tasks = job.spec.tasks if job.spec.shape != "array" else 1
             within = quota.within_guarantee(job.spec, tasks)
             run = self.runs.mean(job.spec, ctx.now)
-            order = self.ordering.key(job.spec, name, ctx.wall - job.at, run, within)
+            order = self.ordering.key(
+                job.spec, name, ctx.wall - job.at, run, within, name == self.first
+            )
             found.append(Waiting(name, job, within, order))
         return merged(found)
 
+    def _longest(self) -> JobId | None:
+        """The gang that has waited longest, if that is so long that room is gathered for it."""
+        waits = [
+            (job.at, name)
+            for name, job in self.ctx.view.waiting.items()
+            if job.spec.shape == "ensemble" and job.retry_at <= self.ctx.wall
+        ]
+        at, name = min(waits, default=(self.ctx.wall, None))
+        return name if self.ctx.wall - at > LONG_S else None
+
     def tick(self) -> None:
         ctx = self.ctx
         if not ctx.leading():
@@ -125,6 +140,7 @@
 
     def _deal_all(self, queue: list[Waiting], quota: Quota) -> None:
         rooms = self.ctx.rooms()
+        self.up = {r.kind.name for r in rooms if not r.spot}
         # Ordinary machines first to those that may use no others: a task that may run
         # on spot machines would sit where a gang or replica could be, and be stopped.
         short = False
@@ -132,7 +148,8 @@
             if not wait.job.spec.spot:
                 short |= not self._serve(wait, rooms, quota)
         if short:
-            rooms = [r for r in rooms if r.spot]
+            needed = self.ctx.market().needed
+            rooms = [r for r in rooms if r.spot or r.kind.name not in needed]
         for wait in queue:
             if wait.job.spec.spot:
                 self._serve(wait, rooms, quota)
@@ -217,6 +234,9 @@
         zones = self._zones(job)
         if flying and (job.spec.apart or job.spec.together):
             return  # zones of what is under way are not settled yet
+        if self._soon(job.spec):
+            self.reasons[name] = self._why_no_room(job)
+            return
         picker: Picker | None = None
         deals: list[jobs.Dealt] = []
         places: list[jobs.Task] = []
@@ -227,7 +247,7 @@
                 self.reasons[name] = quota.why_not(job.spec)
                 break
             if picker is None and not self.refused.covers(job.spec):
-                picker = Picker(job.spec, rooms, zones, avoid=job.failed_on)
+                picker = Picker(job.spec, rooms, zones, avoid=job.failed_on, market=ctx.market())
             room = picker.take() if picker else None
             if room is None:
                 if not (job.spec.apart or job.spec.together):
@@ -246,6 +266,17 @@
         if deals:
             self._deal(name, job, deals)
 
+    def _soon(self, spec: Job) -> bool:
+        """Should a replica wait for the first machines of the type that it belongs on?
+
+        It stays for long where it starts. Seen: large machines boot first, and at the
+        start all replicas took them, for the whole day, from tasks that fit no others.
+        """
+        best = self.ctx.market().best(spec) if spec.shape == "standing" else None
+        if best is None or best in self.up:
+            return False
+        return any(build == best and not spot for build, _, spot in self.booting)
+
     def _deal(self, name: JobId, job: JobRecord, deals: list[jobs.Dealt]) -> None:
         ctx = self.ctx
         for task in deals:
@@ -274,7 +305,7 @@
             return
         if not quota.fits(job.spec, job.spec.tasks):
             self.reasons[name] = quota.why_not(job.spec)
-            if self.ordering.starving(job.spec, ctx.wall - job.at):
+            if name == self.first:
                 # Else its team's small jobs, which fit what is left, would go on for ever.
                 quota.take(job.spec, job.spec.tasks)
             return
@@ -282,7 +313,7 @@
         kind = (job.spec.zone, job.spec.spot, tuple(job.spec.builds or ()), job.spec.together)
         size = (job.spec.cpus, job.spec.gpus, job.spec.memory)
         least = self.gangs_refused.get((*kind, *size), 1 << 30)
-        plan = gangs.fill(job.spec, usable) if job.spec.tasks < least else None
+        plan = gangs.fill(job.spec, usable, ctx.market()) if job.spec.tasks < least else None
         if plan is None:
             self.gangs_refused[(*kind, *size)] = min(least, job.spec.tasks)
             self.short.add(name)
@@ -303,7 +334,8 @@
             for room in missing:
                 self._want(room)
             return
-        places = [(r.owner, r.zone, r.id, r.session) for r in plan]
+        # By owner: the record holds places that differ only by machine as one run.
+        places = sorted((r.owner, r.zone, r.id, r.session) for r in plan)
 
         def settled(ok: bool, why: str) -> None:
             for i in range(job.spec.tasks):
--- a/coursefold/coordination/ordering.py
+++ b/coursefold/coordination/ordering.py
@@ -3,9 +3,10 @@
 Each class's objectives and each job's deadline give latest start times. A job
 that can still meet one goes before a job that is late for all of them, and a
 small gang before a large one: when there is room for either, more users are
-served in time. What has waited long comes before all else of its rank, whatever
-its size: room for a large gang has to be gathered, and small ones that keep
-coming would nibble it away for ever.
+served in time. Room for a large gang has to be gathered, though, and small ones
+that keep coming would nibble it away for ever: of the gangs that have waited long
+the oldest comes before all else of its rank, one at a time, since what is gathered
+for one stands idle meanwhile.
 """
 
 from typing import NamedTuple
@@ -13,7 +14,7 @@
 from coursefold.protocol.wire import RANKS, Job
 from coursefold.settings import Objective
 
-LONG_S = 60.0  # a large job has to start within minutes, and gathering room takes one
+LONG_S = 150.0  # a large job has to start within 4 minutes, and gathering room takes one
 STARVED_S = 600.0
 
 
@@ -46,11 +47,6 @@
             elif aim.kind == "guarantee":
                 self.guarantees.append(aim.within_s)
 
-    @staticmethod
-    def starving(spec: Job, age: float) -> bool:
-        """A gang that has waited so long that room, and its team's quota, is kept for it."""
-        return spec.shape == "ensemble" and age > LONG_S
-
     def latest_starts(self, spec: Job, run: float, within: bool) -> list[float]:
         """Seconds after submission by which the job must start for each of its aims."""
         starts = list(self.waits.get(spec.lane, []))
@@ -61,15 +57,17 @@
             starts += self.guarantees
         return sorted(starts)
 
-    def key(self, spec: Job, name: str, age: float, run: float, within: bool) -> Order:
-        """Sort key, smaller first."""
+    def key(
+        self, spec: Job, name: str, age: float, run: float, within: bool, first: bool = False
+    ) -> Order:
+        """Sort key, smaller first; `first` for the gang that room is gathered for."""
         rank = RANKS[spec.rank]
         group = 0 if rank == 0 else 1 if within else 2
         if age > STARVED_S:
             group = min(group, 1)
         starts = self.latest_starts(spec, run, within)
         ahead = [s - age for s in starts if s > age]
-        if self.starving(spec, age):
+        if first or (spec.shape == "ensemble" and age > STARVED_S):
             return Order(min(group, 1), rank, False, 0, 0.0, -age, name)
         late = bool(starts) and not ahead
         size = spec.tasks if spec.shape == "ensemble" else 0
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -459,7 +459,7 @@
                 rooms = ctx.rooms(mine_only=True)
             room = None
             if not refused.covers(job.spec, entry.zone):
-                room = Picker(job.spec, rooms, zone=entry.zone).take()
+                room = Picker(job.spec, rooms, zone=entry.zone, market=ctx.market()).take()
                 if room is None:
                     refused.add(job.spec, entry.zone)
             if room is not None:
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -7,6 +7,8 @@
 from coursefold.storage.view import EMPTY, Load
 
 SLACK = 1e-6
+WASTEFUL = 40.0  # the same for an ordinary machine of a type that others need
+UNUSUAL = 8.0  # and of a type that they would rather not use
 ALONE = 15.0  # seconds of fetching that it is worth not to pin another empty machine
 
 
@@ -108,13 +110,58 @@
 
 
 def share(spec: Job, kind: MachineType) -> float:
-    """The part of a machine that a task takes: its largest share of any resource."""
-    return max(
+    """The part of a machine that a task takes: one of as many as fit there."""
+    largest = max(
         spec.cpus / kind.cpus if kind.cpus else 0.0,
         spec.gpus / kind.gpus if kind.gpus else 0.0,
         spec.memory / kind.memory if kind.memory else 0.0,
         1e-3,
     )
+    return 1.0 / max(1, int(1.0 / largest + SLACK))
+
+
+class Market:
+    """Which machine types are worth more to other classes than to this one.
+
+    A task that fits one type well and another badly loses more by being elsewhere
+    than one that fits both alike. Seen at a fleet rented to the last machine: gangs
+    that fit both types filled the large machines, and array tasks, which take a small
+    machine each, waited for minutes.
+    """
+
+    def __init__(self, kinds: Iterable[MachineType] = (), specs: Iterable[Job] = ()) -> None:
+        self.savings: dict[str, dict[str, float]] = {}
+        self.needed: set[str] = set()
+        self.cheapest: dict[str, str] = {}
+        kinds = list(kinds)
+        for spec in specs:
+            prices = {k.name: k.price * share(spec, k) for k in kinds if fits_type(spec, k)}
+            if not prices:
+                continue
+            cheapest = self.cheapest[spec.lane] = min(prices, key=prices.__getitem__)
+            if not spec.spot:
+                self.needed.add(cheapest)
+            others = [price for name, price in prices.items() if name != cheapest]
+            if others:
+                kind = next(k for k in kinds if k.name == cheapest)
+                saving = (min(others) - prices[cheapest]) / share(spec, kind)
+                self.savings.setdefault(cheapest, {})[spec.lane] = saving
+
+    def best(self, spec: Job) -> str | None:
+        """The type that a class belongs on, if it would displace others elsewhere."""
+        cheapest = self.cheapest.get(spec.lane)
+        return cheapest if any(kind != cheapest for kind in self.savings) else None
+
+    def displaced(self, spec: Job, kind: MachineType) -> float:
+        """What a task there costs others, per hour."""
+        worth = self.savings.get(kind.name)
+        if not worth:
+            return 0.0
+        most = max((s for lane, s in worth.items() if lane != spec.lane), default=0.0)
+        return share(spec, kind) * most
+
+
+NO_MARKET = Market()
 
 
 def fetch_time(spec: Job, room: Room) -> float:
@@ -128,7 +175,7 @@
     return (spec.image_gb + others) / room.kind.fetch
 
 
-def cost(spec: Job, room: Room) -> tuple[float, float, str]:
+def cost(spec: Job, room: Room, market: Market = NO_MARKET) -> tuple[float, float, str]:
     """Less is better: an early start first, then cheap room, then a tight fit.
 
     Work that may run on spot machines leaves ordinary ones to work that may not;
@@ -138,8 +185,11 @@
     tight fit empties other machines, which can then be returned.
     """
     part = share(spec, room.kind)
-    wasteful = 40.0 if spec.spot and not room.spot else 0.0
+    wasteful = 0.0
+    if spec.spot and not room.spot:
+        wasteful = WASTEFUL if room.kind.name in market.needed else UNUSUAL
     hourly = (room.kind.spot_price if room.spot else room.kind.price) * part
+    hourly += market.displaced(spec, room.kind)
     pinned = 0.0
     if spec.shape == "standing":
         pinned = 40.0 * (1.0 - part) + (ALONE if room.tasks == 0 else 0.0)
@@ -165,14 +215,15 @@
         zones: dict[str, int] | None = None,
         zone: str = "",
         avoid: Collection[str] = (),
+        market: Market = NO_MARKET,
     ) -> None:
-        self.spec = spec
+        self.spec, self.market = spec, market
         self.zones = zones if zones is not None else {}
         self.limit = zone_limit(spec)
         builds, site, spot = spec.builds, spec.zone or zone, spec.spot
         cpus, gpus, memory = spec.cpus - SLACK, spec.gpus - SLACK, spec.memory - SLACK
         self.heap = [
-            ((room.id in avoid, *cost(spec, room)), room)
+            ((room.id in avoid, *cost(spec, room, market)), room)
             for room in rooms
             if room.gpus >= gpus
             and room.cpus >= cpus
@@ -207,7 +258,7 @@
         self.zones[room.zone] = self.zones.get(room.zone, 0) + 1
         if room.holds(self.spec):
             shunned = self.heap[0][0][0]
-            heapreplace(self.heap, ((shunned, *cost(self.spec, room)), room))
+            heapreplace(self.heap, ((shunned, *cost(self.spec, room, self.market)), room))
         else:
             heappop(self.heap)
         return room
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -30,6 +30,7 @@
 FOLLOW_MS = 3000
 FOLLOW_COST = 4.0
 VOUCH_COST = 5.0
+VOUCH_MS = 1  # 0 was seen to wait for the next change, however long that takes
 PEER_S = 0.7
 COMMITS = 3
 
@@ -53,7 +54,7 @@
         self.follow_pause = nodes * FOLLOW_COST / params.state.rps
         self.vouch_pause = nodes * VOUCH_COST / params.state.rps
         self.cloud = HttpClient(settings.services.cloud, connections=4)
-        self.server = Server(settings.listen, self._request)
+        self.server = Server(settings.listen, self._request, params.resources.fd_limit)
         self.peer_server = PeerServer(settings.peer_listen, self._peer)
         self.links = {
             s.member: PeerLink(s.member, s.peer_addr, self._linked, self._frame, PEER_S)
@@ -324,7 +325,7 @@
         """All changes that the view does not show yet; tried again when over the rate."""
         for attempt in range(4):
             try:
-                news = await self.state.follow(records.ROOT, self.core.view.ledger, 0)
+                news = await self.state.follow(records.ROOT, self.core.view.ledger, VOUCH_MS)
                 if news is not None:
                     return news
                 raise Unavailable("the view is too old", 0)
--- a/coursefold/storage/records.py
+++ b/coursefold/storage/records.py
@@ -178,12 +178,77 @@
     due: float | None
 
 
+class Run(Struct, array_like=True, frozen=True):
+    """Entries in a row that differ only by number and machine.
+
+    A gang of hundreds has one entry a task, and has to fit one value: its places are
+    ordered by owner, so that a few runs hold them all. Attempts are the same in a gang
+    and rise one by one in an array; `machines` are ends of names with a common prefix.
+    """
+
+    index: int
+    stage: int
+    attempt: int
+    rising: int
+    owner: str
+    zone: str
+    session: int
+    prefix: str
+    machines: str
+
+
+def common_prefix(names: list[str]) -> str:
+    """The longest start that all names share."""
+    low, high = min(names), max(names)
+    for at, letter in enumerate(low):
+        if at >= len(high) or high[at] != letter:
+            return low[:at]
+    return low
+
+
+def pack(entries: list[Entry]) -> list[Run]:
+    """Entries as runs, in the same order."""
+    runs: list[Run] = []
+    at = 0
+    while at < len(entries):
+        first = entries[at]
+        rising = int(at + 1 < len(entries) and entries[at + 1].attempt == first.attempt + 1)
+        end = at + 1
+        while end < len(entries) and entries[end] == Entry(
+            first.index + end - at, first.stage, first.attempt + rising * (end - at), first.owner,
+            first.zone, entries[end].machine, first.session,
+        ):  # fmt: skip
+            end += 1
+        names = [e.machine for e in entries[at:end]]
+        prefix = common_prefix(names)
+        ends = [name[len(prefix) :] for name in names]
+        if any(" " in name for name in ends):  # never seen; a name is the cloud's own
+            end, prefix, ends = at + 1, names[0], [""]
+        same = (first.owner, first.zone, first.session)
+        run = Run(first.index, first.stage, first.attempt, rising, *same, prefix, " ".join(ends))
+        runs.append(run)
+        at = end
+    return runs
+
+
+def unpack(runs: list[Run]) -> list[Entry]:
+    """The entries of runs."""
+    entries: list[Entry] = []
+    for r in runs:
+        for k, name in enumerate(r.machines.split(" ")):
+            attempt, machine = r.attempt + r.rising * k, r.prefix + name
+            entries.append(
+                Entry(r.index + k, r.stage, attempt, r.owner, r.zone, machine, r.session)
+            )
+    return entries
+
+
 class _Job(Struct, array_like=True, frozen=True):
     spec: _Spec
     at: float
     status: int
     attempt: int
-    entries: list[Entry]
+    entries: list[Run]
     done: list[tuple[int, int]]
     errors: int = 0
     retry_at: float = 0.0
@@ -201,8 +266,10 @@
 def dump(record: Struct) -> Any:
     """A record as plain data for the wire."""
     if isinstance(record, JobRecord):
-        rest = (getattr(record, name) for name in _Job.__struct_fields__[1:])
-        record = _Job(_plain(record.spec), *rest)
+        record = _Job(
+            _plain(record.spec), record.at, record.status, record.attempt, pack(record.entries),
+            record.done, record.errors, record.retry_at, record.failed_on,
+        )  # fmt: skip
     return msgspec.to_builtins(record)
 
 
@@ -226,8 +293,11 @@
                 return msgspec.convert(value, Ending)  # ended, not yet moved
             record = msgspec.convert(value, shape)
             if isinstance(record, _Job):
-                rest = (getattr(record, name) for name in _Job.__struct_fields__[1:])
-                return JobRecord(_rich(record.spec), *rest)
+                return JobRecord(
+                    _rich(record.spec), record.at, record.status, record.attempt,
+                    unpack(record.entries), record.done, record.errors, record.retry_at,
+                    record.failed_on,
+                )  # fmt: skip
             return record
     return None
 
--- a/coursefold/transport/server.py
+++ b/coursefold/transport/server.py
@@ -8,7 +8,7 @@
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from coursefold.protocol.wire import encode
 from coursefold.settings import split_address
@@ -17,6 +17,7 @@
 
 MAX_BODY = 128 * 1024
 REASONS = {status.value: status.phrase for status in HTTPStatus}
+RESERVED = 60  # sockets for the state service, the cloud, siblings, and workers' addresses
 SUBMIT_S = 3.0
 POLL_S = 1.8
 REPORT_S = 3.5
@@ -24,14 +25,53 @@
 Dispatch = Callable[[int, str, str, bytes], None]
 
 
+class Connections:
+    """Keeps the number of open connections below the socket limit.
+
+    At the limit every accept fails, and with it every report. So when only the
+    reserve is left, the connection that has been idle longest is closed, users'
+    before workers'.
+    """
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.used: dict[IOStream, tuple[bool, float]] = {}
+
+    def opened(self, stream: IOStream) -> None:
+        if len(self.used) >= self.most:
+            self.used = {s: u for s, u in self.used.items() if not s.closed()}
+        while len(self.used) >= self.most:
+            oldest = min(self.used, key=self.used.__getitem__)
+            del self.used[oldest]
+            oldest.close()
+            log.debug("a connection closed for a new one")
+        self.used[stream] = (False, time.monotonic())
+
+    def asked(self, stream: IOStream | None, worker: bool) -> None:
+        """A request came over it."""
+        if stream in self.used:
+            self.used[stream] = (worker, time.monotonic())
+
+
+class _Http(HTTPServer):
+    """tornado's server, which tells of each new connection."""
+
+    opened: Callable[[IOStream], None]
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        self.opened(stream)
+        super().handle_stream(stream, address)
+
+
 class Server:
     """Hands requests over by ticket, and sends the answers when they come."""
 
-    def __init__(self, listen: str, dispatch: Dispatch) -> None:
+    def __init__(self, listen: str, dispatch: Dispatch, sockets: int) -> None:
         self.dispatch = dispatch
+        self.connections = Connections(max(8, sockets - RESERVED))
         self.open: dict[int, tuple[HTTPServerRequest, float, str]] = {}
         self.last_ticket = 0
-        self.http = HTTPServer(
+        self.http = _Http(
             self._request,
             max_body_size=MAX_BODY,
             max_buffer_size=2 * MAX_BODY,
@@ -39,6 +79,7 @@
             idle_connection_timeout=300.0,
             body_timeout=10.0,
         )
+        self.http.opened = self.connections.opened
         host, port = split_address(listen)
         self.http.listen(port, host, backlog=512)
 
@@ -49,6 +90,8 @@
         kind = (
             "report" if path == "/agent/beat" else "poll" if request.method == "GET" else "submit"
         )
+        stream = getattr(request.connection, "stream", None)
+        self.connections.asked(stream, kind == "report")
         limit = {"report": REPORT_S, "poll": POLL_S, "submit": SUBMIT_S}[kind]
         self.open[ticket] = (request, time.monotonic() + limit, kind)
         self.dispatch(ticket, request.method or "", path, request.body or b"")
@@ -61,6 +104,8 @@
         connection = entry[0].connection
         if connection is None:
             return
+        if status >= 429:
+            log.debug("%s answered %d: %s", entry[2], status, body)
         payload = encode(body)
         headers = HTTPHeaders(
             {"Content-Type": "application/msgpack", "Content-Length": str(len(payload))}
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,35 @@
+"""The socket limit: a flood of connections must not shut out the workers."""
+
+import asyncio
+
+from coursefold.protocol.wire import encode
+from coursefold.transport.http_client import HttpClient
+from coursefold.transport.server import RESERVED, Server
+from tests.test_loopback import free_ports
+
+MOST = 12
+
+
+async def flood() -> None:
+    (port,) = free_ports(1)
+    address = f"127.0.0.1:{port}"
+    server = Server(address, lambda ticket, *_: server.answer(ticket, 200, {}), RESERVED + MOST)
+    worker = HttpClient(address, 1)
+    body = encode({})
+    assert (await worker.fetch("POST", "/agent/beat", body, 2.0))[0] == 200
+    stream = worker.idle[0]
+    held = [await asyncio.open_connection("127.0.0.1", port) for _ in range(4 * MOST)]
+    await asyncio.sleep(0.05)
+    # The worker's connection is the oldest of all, and still there.
+    assert (await worker.fetch("POST", "/agent/beat", body, 2.0))[0] == 200
+    assert worker.idle == [stream]
+    assert sum(not s.closed() for s in server.connections.used) <= MOST
+    late = HttpClient(address, 1)
+    assert (await late.fetch("POST", "/agent/beat", body, 2.0))[0] == 200
+    for _, writer in held:
+        writer.close()
+    server.http.stop()
+
+
+def test_a_flood_of_connections_leaves_the_workers_theirs() -> None:
+    asyncio.run(asyncio.wait_for(flood(), 20.0))
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -42,6 +42,17 @@
     assert parse(records.job_key(JobId("job-1")), plain) == record
 
 
+def test_a_gang_of_hundreds_fits_one_value() -> None:
+    """Its places are written at once or not at all, so they cannot be split over keys."""
+    spec = decode(encode(JOB | {"NameId": "job-1", "Shape": "ensemble", "Pieces": 700}), Job)
+    places = sorted((f"worker-{i % 5}", "gauteng-rack", f"i-{i:06d}", 1) for i in range(700))
+    record = jobs.place_gang(places)(JobRecord(spec, 0.0))
+    assert isinstance(record, JobRecord)
+    plain = dump(record)
+    assert records.size(plain) < 8 * 1024
+    assert parse(records.job_key(JobId("job-1")), plain) == record
+
+
 @given(st.lists(st.integers(0, 60), max_size=80))
 def test_done_ranges_hold_exactly_what_is_done(indices: list[int]) -> None:
     ranges: list[tuple[int, int]] = []
