--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -93,6 +93,7 @@
         self.kind, self.spot, self.window = kind, spot, window
         self.k = slots(kind)
         self.arrivals = 0.0
+        self.squares = 0.0
         self.work = 0.0
         self.busy = 0.0
         self.batch = 0.0
@@ -121,10 +122,21 @@
     def mean_run(self) -> float:
         return self.work / self.arrivals if self.arrivals else DEFAULT_RUN_S
 
+    @property
+    def batch_factor(self) -> float:
+        """(1 + E[X²]/E[X]) / 2 for arrivals of X slots at once.
+
+        The second moment's part in the wait of M^[X]/M/c queues: in a lump of X, a slot
+        finds half the others of its lump before it, besides what waits already.
+        """
+        return max(1.0, (1.0 + self.squares / self.arrivals) / 2) if self.arrivals else 1.0
+
     def target(self, eta: float) -> float:
         """c*: the optimum of cost against wait, and the raises."""
         rate = self.arrivals / self.window
-        base = float(optimum(rate, 1 / self.mean_run, self.price, eta)) if rate else 0.0
+        base = 0.0
+        if rate:
+            base = float(optimum(rate, 1 / self.mean_run, self.price, eta, self.batch_factor))
         raised = self.busy + self.queued + max(self.backlog, self.gang)
         if self.apart:
             # A gang has waited for room of one zone: what is free, half a machine here and
@@ -196,6 +208,7 @@
                 able = demand.machines * demand.k * self.window / max(run, 1.0)
                 take = min(left, max(0.0, able - demand.arrivals) / w)
             demand.arrivals += take * w
+            demand.squares += (take * w) ** 2
             demand.work += take * w * run
             left -= take
             if left <= 0:
--- a/coursefold/coordination/ordering.py
+++ b/coursefold/coordination/ordering.py
@@ -15,7 +15,7 @@
 from coursefold.protocol.wire import RANKS, Job
 from coursefold.settings import Objective
 
-LONG_S = 150.0  # a large job has to start within 4 minutes, and gathering room takes one
+LONG_S = 180.0  # a large job has to start within 4 minutes, and gathering room takes one
 STARVED_S = 600.0
 
 
--- a/coursefold/coordination/queueing.py
+++ b/coursefold/coordination/queueing.py
@@ -47,9 +47,13 @@
     return _expect(servers, load, rate, erlang_c(servers, load))
 
 
-def optimum(arrivals: float, rate: float, price: float, eta: float, most: int = 20_000) -> int:
+def optimum(
+    arrivals: float, rate: float, price: float, eta: float, batch: float = 1.0, most: int = 20_000
+) -> int:
     """c* = argmin over c > λ/μ of η·E[W] + (1-η)·E[Cost]; the sum is convex in c.
 
+    `batch` is by how much arrivals in lumps lengthen the wait: 1 for single tasks.
+
     The recurrence goes on from one c to the next, so the search costs about as
     much as a single evaluation, also for thousands of slots.
     """
@@ -63,7 +67,7 @@
         if servers <= load:
             continue
         queue = _expect(servers, load, rate, _waiting(servers, load, blocked))
-        total = eta * queue.wait + (1 - eta) * price * max(0.0, servers - queue.length)
+        total = eta * batch * queue.wait + (1 - eta) * price * max(0.0, servers - queue.length)
         if total >= best:
             return servers - 1
         best = total
--- /dev/null
+++ b/tests/test_large.py
@@ -0,0 +1,109 @@
+"""Room for large jobs: gathered, with quota, for one at a time."""
+
+from typing import Any
+
+import pytest
+
+from coursefold.coordination import jobs
+from coursefold.coordination.demand import PoolDemand
+from coursefold.coordination.ordering import LONG_S, Ordering
+from coursefold.coordination.placement import Market, Picker, Room
+from coursefold.coordination.queueing import optimum
+from coursefold.protocol.ids import JobId
+from coursefold.protocol.wire import Catalog, Job, decode, encode
+from coursefold.storage.queue import Void
+from coursefold.storage.records import PLACED, Entry, JobRecord
+from tests.world import CATALOG, JOB, World
+
+SMALL = decode(encode(CATALOG), Catalog).builds[0]
+LARGE = decode(
+    encode(
+        {
+            "Builds": [
+                CATALOG["Builds"][0]
+                | {"Name": "g8", "Vcpus": 96.0, "Accelerators": 8.0, "MemoryGb": 512.0}
+                | {"Hourly": 22.0, "LowPrice": 9.0, "BootS": 10.0}
+            ]
+        }
+    ),
+    Catalog,
+).builds[0]
+
+
+def job(**fields: Any) -> Job:
+    return decode(encode(JOB | {"NameId": "job-1"} | fields), Job)
+
+
+def test_quota_is_kept_for_the_gang_that_has_waited_longest() -> None:
+    """Seen: small jobs of the same team, which fit what was left, went on for ever."""
+    world = World()
+    for number in range(4):
+        world.report(f"i-{number}", [])
+        world.report(f"i-{number}", [], Counter=2)
+    red = {"Owner": "red", "Rank": "urgent"}
+    world.submit("job-1", **red)  # one of red's eight GPUs
+    gang = {"Shape": "ensemble", "Pieces": 4, "Vcpus": 16.0, "Accelerators": 2.0}
+    world.submit("job-2", **red, **gang, Together=True)
+    world.run(world.now + 1.0)
+    world.submit("job-3", **red)
+    world.run(world.now + 1.0)
+    assert world.core.view.jobs[JobId("job-3")].entries
+    world.run(LONG_S + 5.0)
+    for number in range(4):
+        for at in (3, 4):
+            world.report(f"i-{number}", [], Counter=at)
+    world.submit("job-4", **red)
+    world.run(world.now + 1.0)
+    assert not world.core.view.jobs[JobId("job-4")].entries
+    assert "limit of 8 GPUs" in world.core.leader.reasons[JobId("job-4")]
+
+
+def test_one_gang_at_a_time_goes_before_smaller_ones() -> None:
+    order = Ordering([])
+    large = job(Shape="ensemble", Pieces=32)
+    small = job(Shape="ensemble", Pieces=2)
+    late = LONG_S + 1.0
+    chosen = order.key(large, "job-1", late, 60.0, False, first=True)
+    other = order.key(large, "job-2", late, 60.0, False)
+    fresh = order.key(small, "job-3", 1.0, 60.0, False)
+    assert chosen < fresh < other
+
+
+def test_a_pool_grows_for_a_gang_that_its_free_halves_do_not_help() -> None:
+    demand = PoolDemand(SMALL, False, 60.0)
+    demand.machines, demand.busy = 20, 20.0  # every machine half full
+    demand.gang = 8.0
+    assert demand.target(0.0005) <= 40
+    demand.apart = 8.0
+    assert demand.target(0.0005) == 48
+
+
+def test_what_is_placed_is_not_placed_again() -> None:
+    """A step may come twice, by the leader and by the owner itself."""
+    placed = JobRecord(job(), 0.0, attempt=1, entries=[Entry(0, PLACED, 1, "n1", "a", "i-1", 1)])
+    with pytest.raises(Void):
+        jobs.place("n1", [jobs.Task(0, 0, "a", "i-2", 1)])(placed)
+
+
+def test_classes_go_where_they_displace_least() -> None:
+    """One array task takes a small machine whole; a gang's task fits both types alike."""
+    array = job(Lane="array", Vcpus=10.0, MemoryGb=54.0)
+    gang = job(Lane="gang", Vcpus=7.0, MemoryGb=26.0)
+    market = Market([SMALL, LARGE], [array, gang])
+    rooms = [Room("i-1", SMALL, "a", False, "n0", 1), Room("i-2", LARGE, "a", False, "n0", 1)]
+    for room in rooms:
+        room.images = {"img"}
+
+    def first(spec: Job, known: Market) -> str | None:
+        found = Picker(spec, rooms, market=known).best()
+        return found.kind.name if found else None
+
+    assert first(array, market) == "g8"
+    assert first(gang, market) == "g2"
+    assert market.displaced(gang, LARGE) > 0 == market.displaced(array, LARGE)
+    assert market.best(job(Lane="gang")) == "g2"
+
+
+def test_arrivals_in_lumps_make_a_larger_pool() -> None:
+    single = optimum(0.5, 1 / 60, 0.0007, 0.0005)
+    assert optimum(0.5, 1 / 60, 0.0007, 0.0005, batch=20.0) > single
--- a/tests/test_questions.py
+++ b/tests/test_questions.py
@@ -103,7 +103,7 @@
     stale.token -= 1
     for at, bad in enumerate((stale, proposal(world, 2, "burn", number=0)), 2):
         world.peer(frame(world, at, bad))
-    empty = peer_pb2.Proposal(id=3, token=world.core.view.token, job="job-1", kind="place")
+    empty = peer_pb2.Proposal(id=3, token=world.core.view.token, job="job-1", kind="finish")
     world.peer(frame(world, 4, empty))
     assert world.store.ledger == ledger
 
