Room is gathered after 180 s; a lost machine that the leader does not know is proven gone

Cause of the second: of a machine that fell silent without having shown this roster's token silence proves nothing, so its owner leaves its tasks; and a leader under whom it was returned may be another.

--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -386,7 +386,12 @@
         waited = ctx.now - ctx.token_since
         cancel = ctx.settings.params.workers.cancel_s
         for machine in ctx.view.occupied():
-            if machine in seen:
+            heard = seen.get(machine)
+            if heard is not None and not (heard.lost and machine not in self.known):
+                # Its owner hears it, or will prove its silence, or we return it. But of a
+                # lost machine that showed no token of this roster, silence proves nothing;
+                # and if it was returned under a former leader, nobody else asks for proof.
+                # Seen in a drawn day of the tests: a gang of two never started.
                 continue
             placed = [(j, e) for j, e in ctx.view.on_machine(machine) if e.stage != DEALT]
             if not placed:
--- a/coursefold/coordination/gangs.py
+++ b/coursefold/coordination/gangs.py
@@ -1,5 +1,7 @@
 """Gangs: all places at once, or none."""
 
+from math import inf
+
 from coursefold.coordination.placement import (
     NO_MARKET,
     Market,
@@ -11,7 +13,9 @@
 from coursefold.protocol.wire import Job
 
 
-def fill(spec: Job, rooms: list[Room], market: Market = NO_MARKET) -> list[Room] | None:
+def fill(
+    spec: Job, rooms: list[Room], market: Market = NO_MARKET, slack: float = inf
+) -> list[Room] | None:
     """Rooms for all tasks, one for each (a room may serve several), or None.
 
     With `Together` each zone is tried; the plan whose worst place is best wins, for
@@ -19,7 +23,7 @@
     """
     usable = [r for r in rooms if not r.draining and allowed(spec, r)]
     zones = sorted({r.zone for r in usable}) if spec.together else [""]
-    costs = {r.id: cost(spec, r, market) for r in usable if r.holds(spec)}
+    costs = {r.id: cost(spec, r, market, slack) for r in usable if r.holds(spec)}
     ranked = sorted((r for r in usable if r.id in costs), key=lambda r: costs[r.id])
     best: tuple[float, list[Room]] | None = None
     for zone in zones:
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from math import inf
 
 from coursefold.coordination import gangs, jobs, preemption
 from coursefold.coordination.context import Context
@@ -272,6 +273,10 @@
         if deals:
             self._deal(name, job, deals)
 
+    def _slack(self, wait: Waiting) -> float:
+        """How long a start may take for the next aim, once the worker has been told."""
+        return wait.slack - self.ctx.settings.params.workers.report_s if wait.slack else inf
+
     def _soon(self, spec: Job) -> bool:
         """Should a replica wait for the first machines of the type that it belongs on?
 
@@ -319,7 +324,9 @@
         kind = (job.spec.zone, job.spec.spot, tuple(job.spec.builds or ()), job.spec.together)
         size = (job.spec.cpus, job.spec.gpus, job.spec.memory)
         least = self.gangs_refused.get((*kind, *size), 1 << 30)
-        plan = gangs.fill(job.spec, usable, ctx.market()) if job.spec.tasks < least else None
+        plan = None
+        if job.spec.tasks < least:
+            plan = gangs.fill(job.spec, usable, ctx.market(), self._slack(wait))
         if plan is None:
             self.gangs_refused[(*kind, *size)] = min(least, job.spec.tasks)
             self.short.add(name)
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterable
 from heapq import heapify, heappop, heapreplace
+from math import inf
 
 from coursefold.protocol.wire import Job, MachineType
 from coursefold.storage.view import EMPTY, Load
@@ -9,6 +10,7 @@
 SLACK = 1e-6
 WASTEFUL = 40.0  # the same for an ordinary machine of a type that others need
 UNUSUAL = 8.0  # and of a type that they would rather not use
+TOO_LATE = 20.0
 ALONE = 15.0  # seconds of fetching that it is worth not to pin another empty machine
 
 
@@ -179,9 +181,14 @@
     return (spec.image_gb + others + shared) / room.kind.fetch
 
 
-def cost(spec: Job, room: Room, market: Market = NO_MARKET) -> tuple[float, float, str]:
+def cost(
+    spec: Job, room: Room, market: Market = NO_MARKET, slack: float = inf
+) -> tuple[float, float, str]:
     """Less is better: an early start first, then cheap room, then a tight fit.
 
+    `slack` is how long the start may take for the job's next aim: a place whose image
+    comes later than that costs more than the seconds it takes.
+
     Work that may run on spot machines leaves ordinary ones to work that may not;
     a task leaves a machine alone of which it would waste much for its price; a
     replica, which stays, leaves large machines to what comes and goes, and joins
@@ -197,7 +204,9 @@
     pinned = 0.0
     if spec.shape == "standing":
         pinned = 40.0 * (1.0 - part) + (ALONE if room.tasks == 0 else 0.0)
-    return (fetch_time(spec, room) + wasteful + 5.0 * hourly + pinned, room.left, room.id)
+    fetch = fetch_time(spec, room)
+    late = TOO_LATE if fetch > slack else 0.0
+    return (fetch + late + wasteful + 5.0 * hourly + pinned, room.left, room.id)
 
 
 def zone_limit(spec: Job) -> int | None:
@@ -220,14 +229,15 @@
         zone: str = "",
         avoid: Collection[str] = (),
         market: Market = NO_MARKET,
+        slack: float = inf,
     ) -> None:
-        self.spec, self.market = spec, market
+        self.spec, self.market, self.slack = spec, market, slack
         self.zones = zones if zones is not None else {}
         self.limit = zone_limit(spec)
         builds, site, spot = spec.builds, spec.zone or zone, spec.spot
         cpus, gpus, memory = spec.cpus - SLACK, spec.gpus - SLACK, spec.memory - SLACK
         self.heap = [
-            ((room.id in avoid, *cost(spec, room, market)), room)
+            ((room.id in avoid, *cost(spec, room, market, slack)), room)
             for room in rooms
             if room.gpus >= gpus
             and room.cpus >= cpus
@@ -262,7 +272,9 @@
         self.zones[room.zone] = self.zones.get(room.zone, 0) + 1
         if room.holds(self.spec):
             shunned = self.heap[0][0][0]
-            heapreplace(self.heap, ((shunned, *cost(self.spec, room, self.market)), room))
+            heapreplace(
+                self.heap, ((shunned, *cost(self.spec, room, self.market, self.slack)), room)
+            )
         else:
             heappop(self.heap)
         return room
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,7 +12,7 @@
 from tests.fleet import NODES, ZONES, Broken, Fleet
 
 CALM = 70.0
-END = 150.0
+END = 260.0  # what waits for room is gathered for after 180 s
 MACHINES = 240
 TEAMS = [
     {"name": "red", "gpus": 60.0, "gpus_max": 160.0},
@@ -109,7 +109,7 @@
         worker.deaf_until = min(worker.deaf_until, fleet.now)
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("seed", [1, 2, 109])
 def test_troubles_together(seed: int) -> None:
     play(seed)
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -107,3 +107,19 @@
 def test_arrivals_in_lumps_make_a_larger_pool() -> None:
     single = optimum(0.5, 1 / 60, 0.0007, 0.0005)
     assert optimum(0.5, 1 / 60, 0.0007, 0.0005, batch=20.0) > single
+
+
+def test_replicas_wait_for_the_first_machines_of_their_type() -> None:
+    """They stay for long: seen on the large machines, which boot first, for a whole day."""
+    world = World()
+    leader, ctx = world.core.leader, world.core.ctx
+    array = job(Lane="array", Vcpus=10.0, MemoryGb=54.0)
+    replica = job(Lane="web", Shape="standing", Vcpus=5.0, MemoryGb=19.0)
+    ctx._market, ctx._market_at = Market([SMALL, LARGE], [array, replica]), ctx.now
+    leader.booting, leader.up = [("g2", "a", False)], {"g8"}
+    assert leader._soon(replica)
+    assert not leader._soon(array)
+    leader.up = {"g2", "g8"}
+    assert not leader._soon(replica)
+    leader.booting, leader.up = [], {"g8"}
+    assert not leader._soon(replica)
