A machine hears us if its reports come soon after each other; answered rentals not sent again

A worker without answers goes round the nodes and is here again after 10 s at the soonest; one that was cut sends what was held all at once. Rentals were sent again between the cloud's answer and its commit.

--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -35,11 +35,10 @@
         self.told: set[tuple[str, int, int]] = set()
         self.sick = False
         self.quiet = False
-        self.proven = False  # has shown our token: it hears us, and is no late copy
+        self.proven = False  # has shown our token
+        self.hears = True  # its last reports came as from one that gets our answers
         self.deaf = False
-        self.deaf_until = 0.0
-        self.unheeded = 0
-        self.awaited: set[tuple[str, int]] = set()
+        self.deaf_since: float | None = None
         self.lent_until = 0.0
         self.idle_since = Moment(0.0)
         self.lost = False
@@ -193,6 +192,7 @@
             or m.lost
             or m.deaf
             or not m.proven
+            or not m.hears
             or self.now - m.heard > self.alive_within()
             or not self.owns(m.id, m.zone)
         ):
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -55,7 +55,7 @@
     """A machine that the leader believes to exist."""
 
     __slots__ = (
-        "build", "deaf_since", "hired_at", "id", "listed_at", "lost", "sick", "silent_s", "spot",
+        "build", "hired_at", "id", "listed_at", "lost", "sick", "silent_s", "spot",
         "status", "up", "zone",
     )  # fmt: skip
 
@@ -67,7 +67,6 @@
         self.up = False
         self.lost = self.sick = False
         self.silent_s = 0.0
-        self.deaf_since = 0.0
 
     @property
     def pool(self) -> PoolId:
@@ -110,6 +109,7 @@
         self.runs = self.leader.runs = Runs()
         self.arrivals: dict[str, tuple[float, Job]] = {}
         self.asked: set[str] = set()
+        self.answered: set[str] = set()
         self.fired: dict[PoolId, tuple[str, ...]] = {}
         self.calls.clear()
 
@@ -188,6 +188,8 @@
         pool, hire = about
         self.asked.discard(hire.name)
         spot = (pool.build, hire.zone, pool.spot)
+        if status in (200, 400) or b"capacity" in body:
+            self.answered.add(hire.name)  # asked no more, while that is being written
         if status == 200:
             machines = decode(body, Boxes).machines
             for name in machines:
@@ -272,6 +274,7 @@
             self.reign = ctx.view.token
             self.calls.clear()
             self.asked.clear()
+            self.answered.clear()
         if ctx.view.catalog is None or ctx.now - self.catalog_at > CATALOG_S:
             self._call("catalog", {}, None)
         if ctx.now - self.list_at > self._list_every() and self._call("list", {"Page": 500}, None):
@@ -337,8 +340,7 @@
             if known.id in seen:
                 known.silent_s, sick, lost, deaf = seen[known.id]
                 known.up = True
-                known.deaf_since = 0.0 if not deaf else known.deaf_since or ctx.now
-                if deaf and ctx.now - known.deaf_since > 2.0 * lease:
+                if deaf:
                     # Its reports come, our answers do not arrive: nothing can be run there,
                     # and what ran there ended with its lease, or ends with the return.
                     self._give_up(known, "does not hear us")
@@ -468,7 +470,11 @@
             build, _, kind = key.partition("/")
             pool = PoolId(build, kind == "spot")
             for hire in record.hires:
-                if hire.machines is None and hire.name not in self.asked:
+                if (
+                    hire.machines is None
+                    and hire.name not in self.asked
+                    and hire.name not in self.answered
+                ):
                     body = {
                         "Hire": hire.name,
                         "Build": build,
@@ -493,6 +499,7 @@
             for name in [about[1].name]
         }
         self.asked &= live
+        self.answered &= {h.name for record in ctx.view.pools.values() for h in record.hires}
 
     # The control loop
 
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -37,7 +37,8 @@
 
 ALONE_S = 8.0  # without state service and siblings: then it is most likely we who are cut off
 SWEEP_S = 0.5
-UNHEEDED = 2
+HELD_S = 0.2  # reports closer than this were held back and let go together
+DEAF = 1.5  # leases
 FORGET_S = 120.0
 DEPARTED = 2000
 
@@ -86,7 +87,6 @@
         self._take(m, r)
         orders = self._orders(m, r)
         m.answered = ctx.now
-        m.awaited = {(o.task, o.attempt) for o in orders if o.verb == "run"}
         ctx.out.append(Answer(ticket, 200, {"Baton": ctx.view.token, "Orders": orders}))
 
     def _refuse(self, ticket: int) -> None:
@@ -116,28 +116,33 @@
     def _heed(self, m: Machine, r: Report) -> None:
         """Does the machine hear us? Its reports alone do not say so.
 
-        A machine whose way in is cut goes on reporting. Then what we command is not
-        listed in the next report, and its lease ends although we answered. A copy
-        of an old report also looks like a live machine; but only one that got our
-        answers can know our token, so until then it counts as unproven.
+        A machine whose way in is cut goes on reporting, and a copy of an old report
+        looks like a live machine. Two signs are needed. It has shown our token, which
+        only our answer can have told it. And its last two reports came soon after each
+        other: one that gets no answer waits 4 s and then asks the other nodes first,
+        while one that was cut off both ways sends what was held back all at once.
         """
         ctx = self.ctx
-        if r.token == ctx.view.token and not m.proven:
-            m.proven = ctx.tell = True
-        listed = {(item.task, item.attempt) for item in r.tasks}
-        missed = m.awaited and r.session == m.session and not m.awaited & listed
-        m.unheeded = m.unheeded + 1 if missed else 0 if m.awaited else m.unheeded
-        m.awaited = set()
-        lease = ctx.settings.params.workers.lease_s
-        if r.session > m.session > 0 and ctx.now - m.answered < 0.9 * lease:
-            m.deaf_until = ctx.now + 1.5 * lease  # its lease ended although we had answered
-        elif m.unheeded >= UNHEEDED:
-            m.deaf_until = ctx.now + lease
-        if r.session != m.session:
-            m.unheeded = 0
-        if m.deaf_until > ctx.now and not m.deaf:
+        gap = ctx.now - m.heard if m.session else 0.0
+        hears = m.hears if gap < HELD_S else gap < self._apart()
+        proven = r.token == ctx.view.token or (m.proven and r.session == m.session)
+        if (hears, proven) != (m.hears, m.proven):
+            ctx.tell = True
+        if hears:
+            m.deaf_since = None
+            if m.deaf:
+                m.deaf = False
+                log.info("machine %s hears us again", m.id)
+        elif m.deaf_since is None:
+            m.deaf_since = ctx.now
+        elif not m.deaf and ctx.now - m.deaf_since > DEAF * ctx.settings.params.workers.lease_s:
             m.deaf = ctx.tell = True
             log.info("machine %s reports, but does not hear us", m.id)
+        m.hears, m.proven = hears, proven
+
+    def _apart(self) -> float:
+        """Reports to one node that come no sooner than this may be of a worker without answers."""
+        return 9.0 if self.ctx.settings.siblings else 4.5
 
     def may_keep(self) -> bool:
         """Without the state service: may we go on renewing our workers' leases?
@@ -381,9 +386,6 @@
                 self._expire(m)
             if ctx.now - m.heard > alive != m.quiet:
                 m.quiet = not m.quiet
-            if m.deaf and m.deaf_until <= ctx.now:
-                m.deaf, ctx.tell = False, True
-                log.info("machine %s keeps its lease again", m.id)
             if quiet > FORGET_S and not ctx.view.on_machine(m.id):
                 self.depart(m.id)
 
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -65,7 +65,7 @@
                 idle = not m.tasks and not ctx.view.occupies(m.id)
                 self.rows[m.id] = Row(
                     m.build, m.zone, m.spot, m.session, m.heard if m.quiet else None,
-                    m.recall_at is not None, m.sick, m.lent_until > ctx.now,
+                    m.recall_at is not None or not m.hears, m.sick, m.lent_until > ctx.now,
                     m.idle_since if idle else None, m.lost, m.deaf, tuple(m.images),
                 )  # fmt: skip
         return self.rows
