--- a/coursefold/coordination/election.py
+++ b/coursefold/coordination/election.py
@@ -20,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 UNREACHABLE_S = 3.0
+GATHER_S = 0.6
 
 
 class Election:
@@ -30,6 +31,8 @@
         self.leaderless_since: float | None = None
         self.knocks: dict[str, dict[str, list[float]]] = {}
         self.evicted: dict[str, float] = {}
+        self.coming: list[MemberRecord] | None = None
+        self.coming_at = self.coming_since = 0.0
 
     def knock(self, owner: str, machine: str) -> None:
         """A worker came to us although `owner` is the one to report to."""
@@ -88,7 +91,7 @@
         members = [live[n] for n in sorted(live) if n == ctx.me or n not in self.evicted]
         if roster is not None and roster.leader == ctx.me and ctx.my_record() is not None:
             self.leaderless_since = None
-            if members != roster.members:
+            if members != roster.members and self._settled(members, roster):
                 self._commit(Roster(ctx.me, members), "membership changed")
             return
         leader = roster.member(roster.leader) if roster else None
@@ -104,6 +107,24 @@
         if ctx.now - self.leaderless_since >= 0.3 * self._place(members, roster):
             self._commit(Roster(ctx.me, members), "no leader")
 
+    def _settled(self, members: list[MemberRecord], roster: Roster) -> bool:
+        """Is it time for a new roster? At once when a member has left; joins are gathered.
+
+        Each roster is a new token that every worker has to show. Seen: five controllers
+        that came back within a second made five of them.
+        """
+        now = self.ctx.now
+        if members != self.coming:
+            if self.coming is None:
+                self.coming_since = now
+            self.coming, self.coming_at = members, now
+        names = {m.name for m in members}
+        gone = any(m.name not in names for m in roster.members)
+        if gone or now - self.coming_at >= GATHER_S or now - self.coming_since >= 3 * GATHER_S:
+            self.coming = None
+            return True
+        return False
+
     def _place(self, members: list[MemberRecord], roster: Roster | None) -> int:
         """Our place in line: those that served under the last roster first."""
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -47,3 +47,23 @@
     assert not ctx.active()
     world.core.view.ledger = ctx.view.token
     assert ctx.active()
+
+
+def test_controllers_that_come_back_together_make_one_roster() -> None:
+    """Each roster is a token that all workers have to be told, and to show."""
+    world = World()
+    rosters = [world.core.view.token]
+    for member, zone in (("n1", "b"), ("n2", "a")):
+        world.join(member, zone)
+        world.run(world.now + 0.25)
+        rosters.append(world.core.view.token)
+    world.run(world.now + 2.0)
+    rosters.append(world.core.view.token)
+    roster = world.core.view.roster
+    assert roster is not None and [m.name for m in roster.members] == ["n0", "n1", "n2"]
+    assert len(set(rosters)) == 2
+    # A member that is lost is not waited for: its machines have no owner.
+    world.store.end(next(p for p, _ in world.store.leases.items() if p == roster.members[1].permit))
+    world.run(world.now + 0.5)
+    roster = world.core.view.roster
+    assert roster is not None and [m.name for m in roster.members] == ["n0", "n2"]
