Users' reads have a part of the rate of their own; endings that have not moved are known

Found by reading the code: reads were refused while the node's whole budget was overdrawn, which on a busy leader is always, so a job that ended before a restart could be refused at each poll; and the memory of endings is bounded while those not yet moved are not read. Tests for both.

--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -236,6 +236,9 @@
                 continue
             job = JobId(asked[1])
             found = self.view.jobs.get(job) or self.view.endings.get(job)
+            held = self.view.held.get(job_key(job))
+            if found is None and held is not None and isinstance(held.record, Ending):
+                found = held.record  # ended and not moved yet, however long ago
             if found is not None:
                 self.read(ticket, found)
             else:
--- a/coursefold/transport/state.py
+++ b/coursefold/transport/state.py
@@ -58,14 +58,15 @@
         self.http = HttpClient(address, connections=8)
         self.watch = HttpClient(address, connections=1)
         self.clock, self.heard = clock, heard
-        self.budget = Budget(rps * 0.9 / nodes, rps * 0.4)
+        # For users' reads of jobs that ended long ago, or are unknown. A part of their own:
+        # a leader that writes a lot would otherwise refuse the same job's polls for ever.
+        self.reads = Budget(rps * 0.2 / nodes, max(2.0, rps * 0.4 / nodes))
 
     async def _ask(
         self, method: str, path: str, body: Any = None, timeout: float = REQUEST_S,
         client: HttpClient | None = None,
     ) -> tuple[int, bytes]:  # fmt: skip
         sent = self.clock()
-        self.budget.take(sent, 1.0)
         payload = None if body is None else encode(body)
         try:
             status, answer = await (client or self.http).fetch(method, path, payload, timeout)
@@ -77,8 +78,11 @@
         return status, answer
 
     def room(self) -> bool:
-        """False when users' reads should be refused to leave room for our own needs."""
-        return self.budget.fill(self.clock()) >= 1.0
+        """Room for one user's read? It is taken."""
+        if self.reads.fill(self.clock()) < 1.0:
+            return False
+        self.reads.take(self.clock(), 1.0)
+        return True
 
     async def grant(self, life_ms: int) -> int:
         status, answer = await self._ask("POST", "/leases", {"LifeMs": life_ms})
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -58,8 +58,11 @@
 
     async def ask(self, method: str, path: str, body: Any = None, node: int = 0) -> Any:
         payload = None if body is None else encode(body)
-        status, answer = await self.clients[node].fetch(method, path, payload, 5.0)
-        return status, msgspec.msgpack.decode(answer)
+        while True:
+            status, answer = await self.clients[node].fetch(method, path, payload, 5.0)
+            if status != 503 or path == "/healthz":
+                return status, msgspec.msgpack.decode(answer)
+            await asyncio.sleep(0.2)
 
     async def until(self, path: str, wanted: str) -> Any:
         node = 0
--- a/tests/test_questions.py
+++ b/tests/test_questions.py
@@ -3,9 +3,10 @@
 from typing import Any
 
 from coursefold.protocol import peer_pb2
-from coursefold.protocol.ids import JobId
+from coursefold.protocol.ids import JobId, Moment
 from coursefold.storage import records
 from coursefold.storage.records import Entry, JobRecord
+from coursefold.transport.state import StateClient
 from tests.world import World
 
 
@@ -36,6 +37,25 @@
     assert answer is not None and answer.status == 404
 
 
+def test_an_ending_that_has_not_moved_is_known_however_long_ago_it_was() -> None:
+    """Its memory of endings is bounded; a 404 here would have forgotten a job."""
+    world = World()
+    world.submit("job-1")
+    world.cancel("job-1")
+    world.core.view.endings.clear()
+    answer = world.poll("job-1")
+    assert answer is not None and answer.body["Status"] == "cancelled"
+
+
+def test_reads_keep_a_part_of_the_rate_whatever_else_is_sent() -> None:
+    """Seen by reading: a busy leader refused every poll for a job that ended long ago."""
+    now = [Moment(10.0)]
+    client = StateClient("127.0.0.1:1", 100.0, 5, lambda: now[0], lambda _: None)
+    assert sum(client.room() for _ in range(50)) == 8
+    now[0] = Moment(11.0)
+    assert sum(client.room() for _ in range(50)) == 4
+
+
 def test_endings_move_away_when_nothing_else_is_to_be_written() -> None:
     """They take one change at a job's end, and must not be read by every start for ever."""
     world = World()
