--- a/tests/test_questions.py
+++ b/tests/test_questions.py
@@ -137,3 +137,20 @@
     assert not world.core.peer(first)
     assert not world.core.peer(frame(world, 3))
     assert world.core.peer(frame(world, 2))
+
+
+def test_tasks_on_a_lost_machine_that_the_leader_does_not_know_are_proven_gone() -> None:
+    """It fell silent before it showed this roster's token, so its owner may not say that
+    its tasks are gone; and it was returned under a former leader. Seen: they stayed there.
+    """
+    world = World()
+    led(world)
+    for seq in range(1, 30):
+        envelope = peer_pb2.Envelope.FromString(frame(world, seq, full=seq == 1))
+        envelope.sent_at = world.core.ctx.wall
+        row = {"build": "g2", "zone": "b", "session": 1, "quiet": True, "silent_s": 30.0}
+        envelope.summary.machines.add(id="i-5", lost=True, **row)
+        assert world.core.peer(envelope.SerializeToString())
+        world.run(world.now + 1.0)
+    assert "i-5" in world.returned
+    assert not any(e.machine == "i-5" for e in record(world, "job-1").entries)
