--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -4,13 +4,14 @@
 from coursefold.coordination.parts import owner
 from coursefold.coordination.placement import Room
 from coursefold.policy import Policy
-from coursefold.protocol.ids import Member, Moment, WallTime
-from coursefold.protocol.wire import Job, MachineType, TaskReport
+from coursefold.protocol.ids import JobId, Member, Moment, WallTime
+from coursefold.protocol.wire import Catalog, Job, MachineType, TaskReport
 from coursefold.settings import Settings
 from coursefold.storage.queue import CommitQueue
 from coursefold.storage.records import MemberRecord, Roster
 from coursefold.storage.view import View
 
+OWNERS = 20_000  # machines whose owner is remembered
 DRIFT = 1.002  # two clocks may each be off by 0.05%; this is twice that and more
 
 
@@ -32,6 +33,12 @@
         self.failures: list[str] = []
         self.told: set[tuple[str, int, int]] = set()
         self.sick = False
+        self.quiet = False
+        self.proven = False  # has shown our token: it hears us, and is no late copy
+        self.deaf = False
+        self.deaf_until = 0.0
+        self.unheeded = 0
+        self.awaited: set[tuple[str, int]] = set()
         self.lent_until = 0.0
         self.idle_since = Moment(0.0)
         self.lost = False
@@ -45,29 +52,37 @@
 
 
 class PeerMachine:
-    """A worker in a sibling's part, as its summary shows it."""
+    """A worker in a sibling's part, as its summaries show it."""
 
     __slots__ = (
-        "build", "draining", "id", "idle", "idle_s", "images", "lent", "lost", "session", "sick",
-        "silent_s", "spot", "zone",
+        "build", "deaf", "draining", "heard", "id", "idle", "idle_since", "images", "lent", "lost",
+        "quiet", "session", "sick", "spot", "zone",
     )  # fmt: skip
 
     def __init__(
-        self, id: str, build: str, zone: str, spot: bool, session: int, silent_s: float
+        self, id: str, build: str, zone: str, spot: bool, session: int, heard: float
     ) -> None:
         self.id, self.build, self.zone, self.spot = id, build, zone, spot
-        self.session, self.silent_s = session, silent_s
-        self.draining = self.sick = self.lent = self.idle = self.lost = False
-        self.idle_s = 0.0
+        self.session, self.heard = session, heard
+        self.quiet = self.draining = self.sick = self.lent = self.idle = False
+        self.lost = self.deaf = False
+        self.idle_since = 0.0
         self.images: frozenset[str] = frozenset()
 
+    def silence(self, now: float) -> float:
+        """Seconds without a report; a row is sent again when a machine falls quiet."""
+        return now - self.heard if self.quiet else 0.0
 
-class PeerView:
-    """A sibling's last summary and when it came."""
 
-    def __init__(self, member: str, token: int, permit: int, state_age: float, at: Moment) -> None:
-        self.member, self.token, self.permit = member, token, permit
-        self.state_age, self.at = state_age, at
+class PeerView:
+    """What a sibling's summaries say, and when the last one came."""
+
+    def __init__(self, member: str, link: float) -> None:
+        self.member, self.link = member, link
+        self.seq = 0
+        self.token = self.permit = 0
+        self.state_age = 0.0
+        self.at = Moment(-1e9)
         self.machines: dict[str, PeerMachine] = {}
         self.wanted: frozenset[str] = frozenset()
         self.complaints: frozenset[str] = frozenset()
@@ -97,6 +112,10 @@
         self.pending: dict[tuple[str, int], tuple[str, Job]] = {}
         self.finished: list[tuple[str, float]] = []
         self.tell = False
+        self._owners: dict[str, str | None] = {}
+        self._owners_at = -1
+        self._kinds: dict[str, MachineType] = {}
+        self._kinds_of: Catalog | None = None
 
     @property
     def roster(self) -> Roster | None:
@@ -124,9 +143,20 @@
         roster = self.view.roster
         return roster is not None and roster.leader == self.me and self.active()
 
-    def owns(self, machine: str, zone: str) -> bool:
+    def owner(self, machine: str, zone: str) -> str | None:
+        """The member that owns a machine; hashed once under each roster."""
         roster = self.view.roster
-        return roster is not None and owner(machine, zone, roster) == self.me
+        if roster is None:
+            return None
+        if self._owners_at != self.view.token or len(self._owners) > OWNERS:
+            self._owners, self._owners_at = {}, self.view.token
+        found = self._owners.get(machine, "")
+        if found == "":
+            found = self._owners[machine] = owner(machine, zone, roster)
+        return found
+
+    def owns(self, machine: str, zone: str) -> bool:
+        return self.owner(machine, zone) == self.me
 
     def alive_within(self) -> float:
         """A machine not heard for longer takes no new tasks."""
@@ -134,45 +164,58 @@
 
     def kind(self, build: str) -> MachineType | None:
         catalog = self.view.catalog
-        if catalog is None:
+        if catalog is not self._kinds_of:
+            self._kinds_of = catalog
+            self._kinds = {t.name: t for t in catalog.builds} if catalog else {}
+        return self._kinds.get(build)
+
+    def room(self, id: str) -> Room | None:
+        """One machine of our part, if it can take tasks."""
+        m = self.machines.get(id)
+        return self._room(m) if m is not None else None
+
+    def _room(self, m: Machine) -> Room | None:
+        kind = self.kind(m.build)
+        if (
+            kind is None
+            or m.sick
+            or m.lost
+            or m.deaf
+            or not m.proven
+            or self.now - m.heard > self.alive_within()
+            or not self.owns(m.id, m.zone)
+        ):
             return None
-        return next((t for t in catalog.builds if t.name == build), None)
+        room = Room(m.id, kind, m.zone, m.spot, self.me, m.session, self.view.load(m.id), m.images)
+        room.draining = m.recall_at is not None
+        room.lent = m.lent_until > self.now
+        room.idle_since = m.idle_since
+        return room
 
     def rooms(self, mine_only: bool = False) -> list[Room]:
         """Machines that can take tasks, with what is free after all entries and plans."""
         rooms: dict[str, Room] = {}
         for m in self.machines.values():
-            kind = self.kind(m.build)
-            if (
-                kind is None
-                or m.sick
-                or m.lost
-                or self.now - m.heard > self.alive_within()
-                or not self.owns(m.id, m.zone)
-            ):
-                continue
-            room = Room(m.id, kind, m.zone, m.spot, self.me, m.session)
-            room.images = frozenset(m.images)
-            room.draining = m.recall_at is not None
-            room.lent = m.lent_until > self.now
-            room.idle_since = m.idle_since
-            rooms[m.id] = room
+            room = self._room(m)
+            if room is not None:
+                rooms[m.id] = room
         if not mine_only:
             self._peer_rooms(rooms)
-        for machine, entries in self.view.by_machine().items():
-            found = rooms.get(machine)
-            if found is not None:
-                for job, entry in entries:
-                    if (job, entry.index) not in self.pending:
-                        found.take(self.view.jobs[job].spec)
-        for machine, spec in self.pending.values():
-            found = rooms.get(machine)
-            if found is not None:
+        for (name, index), (machine, spec) in self.pending.items():
+            # Under way: counts at its new place, not at the one it has in the record.
+            entry = self.view.entry(JobId(name), index)
+            if entry is not None:
+                if entry.machine == machine:
+                    continue
+                if (was := rooms.get(entry.machine)) is not None:
+                    was.give(spec)
+            if (found := rooms.get(machine)) is not None:
                 found.take(spec)
         return list(rooms.values())
 
     def _peer_rooms(self, rooms: dict[str, Room]) -> None:
         roster = self.view.roster
+        view, alive = self.view, self.alive_within()
         for peer in self.peers.values():
             if roster is None or self.now - peer.at > 3.0:
                 continue
@@ -182,13 +225,17 @@
                     kind is None
                     or pm.sick
                     or pm.lost
-                    or pm.silent_s + (self.now - peer.at) > self.alive_within()
-                    or owner(pm.id, pm.zone, roster) != peer.member
+                    or pm.deaf
+                    or pm.quiet
+                    or self.now - peer.at > alive
+                    or self.owner(pm.id, pm.zone) != peer.member
                 ):
                     continue
-                room = Room(pm.id, kind, pm.zone, pm.spot, peer.member, pm.session)
-                room.images = pm.images
+                room = Room(
+                    pm.id, kind, pm.zone, pm.spot, peer.member, pm.session, view.load(pm.id),
+                    pm.images,
+                )  # fmt: skip
                 room.draining = pm.draining
                 room.lent = pm.lent
-                room.idle_since = self.now - pm.idle_s
+                room.idle_since = pm.idle_since
                 rooms[pm.id] = room
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -10,9 +10,10 @@
 
 from coursefold.coordination import jobs, summary
 from coursefold.coordination.context import Context
-from coursefold.coordination.effects import Answer, Effect, Read, Tell
+from coursefold.coordination.effects import Answer, Effect, Read, Tell, Vouch
 from coursefold.coordination.election import Election
 from coursefold.coordination.fleet import Fleet
+from coursefold.coordination.forward import Forwarding
 from coursefold.coordination.leader import Leader
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import fits_type
@@ -22,13 +23,15 @@
 from coursefold.protocol.wire import Job, Malformed, decode_job, decode_report
 from coursefold.settings import Settings
 from coursefold.storage import records
-from coursefold.storage.queue import FIRST, CommitQueue, Edit
+from coursefold.storage.queue import FIRST, LATER, CommitQueue, Edit
 from coursefold.storage.records import Ending, JobRecord, job_key
 from coursefold.storage.view import View
 
 log = logging.getLogger(__name__)
 
 STATE_SILENCE_S = 3.0
+SWEEP = 8  # endings moved together
+ASKING = 2000  # questions that may wait at once
 
 
 class Core:
@@ -42,10 +45,16 @@
         )
         self.ctx = Context(settings, self.view, self.queue, policy)
         self.election = Election(self.ctx)
-        self.owner = Owner(self.ctx, self.election)
+        rows = summary.Rows(self.ctx)
+        self.tellers = {
+            s.member: summary.Teller(self.ctx, rows, s.member) for s in settings.siblings
+        }
+        self.forwarding = Forwarding(self.ctx, self.tellers)
+        self.owner = Owner(self.ctx, self.election, self.forwarding.edit)
         self.leader = Leader(self.ctx, self.owner)
         self.fleet = Fleet(self.ctx, self.leader)
         self.asking: dict[int, tuple[str, str, Job | None]] = {}
+        self.questions: list[int] = []
         self.was_leading = False
 
     def at(self, now: Moment, wall: WallTime) -> None:
@@ -62,28 +71,60 @@
         out, self.ctx.out = self.ctx.out, []
         if self.ctx.tell:
             self.ctx.tell = False
-            out.append(Tell())
+            for teller in self.tellers.values():
+                teller.urgent = True
+        waiting = [name for name, teller in self.tellers.items() if teller.waits()]
+        if waiting:
+            out.append(Tell(waiting))
         return out
 
     def tick(self) -> None:
         """Time has passed, or records have changed."""
+        ctx = self.ctx
+        roster = self.view.roster
+        self.queue.share(ctx.leading(), len(roster.members) if roster else 1)
+        self.forwarding.tick()
         self.election.tick()
         self.owner.tick()
         self.leader.tick()
         self.fleet.tick()
-        leading = self.ctx.leading()
+        self._sweep()
+        leading = ctx.leading()
         if leading != self.was_leading:
             self.was_leading = leading
             log.info("%s, token %d", "leading" if leading else "no longer leading", self.view.token)
 
-    def summary(self) -> bytes:
-        """The frame for our siblings."""
-        return summary.build(
-            self.ctx, set(self.leader.wanted), self.election.complaints(), self.leader.reasons
+    def _sweep(self) -> None:
+        """Move endings to where they stay, when nothing else is to be written."""
+        ctx = self.ctx
+        unswept = self.view.unswept
+        if len(unswept) < SWEEP or not ctx.leading() or not self.queue.idle(ctx.now):
+            return
+        for name in list(unswept)[:SWEEP]:
+            self.queue.propose(
+                Edit(job_key(name), jobs.sweep(), rank=LATER, fence=self.view.token, tag="sweep")
+            )
+
+    def linked(self, member: str) -> None:
+        """A new connection to a sibling."""
+        self.tellers[member].begin()
+        self.forwarding.linked(member)
+
+    def frame(self, member: str) -> bytes:
+        """The next frame for a sibling; empty if there is nothing to say."""
+        return self.tellers[member].frame(
+            set(self.leader.wanted), self.election.complaints(), self.leader.reasons
         )
 
-    def peer(self, frame: bytes) -> None:
-        summary.take(self.ctx, frame)
+    def peer(self, frame: bytes) -> bool:
+        """A sibling's frame; False if its connection should end."""
+        envelope = summary.read(self.ctx, frame)
+        if envelope is None:
+            return False
+        summary.take(self.ctx, envelope)
+        self.forwarding.outcomes(list(envelope.outcomes))
+        self.forwarding.proposals(envelope.sender, list(envelope.proposals))
+        return True
 
     def cloud(self, call: int, status: int, body: bytes) -> None:
         self.fleet.outcome(call, status, body)
@@ -129,9 +170,10 @@
         if len(self.queue.waiting) > 2 * self.ctx.settings.params.state.write_rps:
             self._later(ticket, "too many changes are waiting", 3)
             return
-        if JobId(spec.name) in self.view.jobs or self._never(spec):
+        name = JobId(spec.name)
+        if name in self.view.jobs or name in self.view.endings or self._never(spec):
             # Also for what can never run: an id that is known gets its state.
-            self._read(ticket, "submit", spec.name, spec)
+            self._ask(ticket, "submit", spec.name, spec)
             return
         self._accept(spec, ticket)
 
@@ -145,7 +187,7 @@
             elif why in ("too large", "refused"):
                 self.ctx.out.append(Answer(ticket, 400, {"error": "description too large"}))
             else:
-                self._read(ticket, "submit", spec.name, None)
+                self._ask(ticket, "submit", spec.name, None)
 
         change = jobs.accept(spec, self.ctx.wall)
         self.queue.propose(Edit(job_key(JobId(spec.name)), change, rank=FIRST, done=settled))
@@ -163,9 +205,33 @@
             return "needs more than the team's limit"
         return ""
 
-    def _read(self, ticket: int, what: str, job: str, spec: Job | None) -> None:
+    def _ask(self, ticket: int, what: str, job: str, spec: Job | None) -> None:
+        """A question for a state that is as new as the question.
+
+        Another node may have told the user something newer than our view. One
+        request to the state service, sent after the questions came, brings the view
+        up to date for all that wait; a final state never changes and needs none.
+        """
+        ending = self.view.endings.get(JobId(job))
         self.asking[ticket] = (what, job, spec)
-        self.ctx.out.append(Read(ticket, job))
+        if ending is not None:
+            self.read(ticket, ending)
+            return
+        self.questions.append(ticket)
+        self.ctx.out.append(Vouch())
+
+    def vouched(self, tickets: list[int]) -> None:
+        """The view is now as new as these questions."""
+        for ticket in tickets:
+            asked = self.asking.get(ticket)
+            if asked is None:
+                continue
+            job = JobId(asked[1])
+            found = self.view.jobs.get(job) or self.view.endings.get(job)
+            if found is not None:
+                self.read(ticket, found)
+            else:
+                self.ctx.out.append(Read(ticket, job))  # ended long ago, or unknown
 
     def poll(self, job: str, ticket: int) -> None:
         """GET /work/{id}: read through, for another node may have said something newer."""
@@ -175,7 +241,10 @@
         if self.state_silent():
             self._later(ticket, "no state service", 2)
             return
-        self._read(ticket, "poll", job, None)
+        if len(self.asking) > ASKING:
+            self._later(ticket, "too many requests", 2)
+            return
+        self._ask(ticket, "poll", job, None)
 
     def cancel(self, job: str, ticket: int) -> None:
         """POST /work/{id}/cancel."""
@@ -188,7 +257,7 @@
         if JobId(job) in self.view.jobs:
             self._cancel(job, ticket)
         else:
-            self._read(ticket, "cancel", job, None)
+            self._ask(ticket, "cancel", job, None)
 
     def _cancel(self, job: str, ticket: int) -> None:
         def settled(ok: bool, why: str) -> None:
@@ -196,7 +265,7 @@
                 log.info("cancel %s", job)
                 self.ctx.out.append(Answer(ticket, 200, {"NameId": job, "Status": "cancelled"}))
             else:
-                self._read(ticket, "over", job, None)
+                self._ask(ticket, "over", job, None)
 
         self.queue.propose(Edit(job_key(JobId(job)), jobs.cancel(), rank=FIRST, done=settled))
 
--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -10,13 +10,14 @@
 from typing import NamedTuple
 
 from coursefold.coordination import gangs
-from coursefold.coordination.placement import Room, choose, fits_type, share
+from coursefold.coordination.placement import Picker, Refused, Room, fits_type, share
 from coursefold.coordination.queueing import optimum
 from coursefold.protocol.wire import Catalog, Job, MachineType
 
 WINDOW_S = 60.0
 HISTORY_S = 1800.0
 DEFAULT_RUN_S = 60.0
+PATIENT_S = 10.0
 MIN_RUN_S = 1.0
 
 
@@ -43,17 +44,27 @@
 
     def __init__(self) -> None:
         self.seen: dict[str, deque[tuple[float, float]]] = {}
+        self.means: dict[str, float] = {}
+        self.counted_at = 0.0
 
     def add(self, lane: str, seconds: float, now: float) -> None:
         self.seen.setdefault(lane, deque(maxlen=200)).append((now, seconds))
+        self.means.pop(lane, None)
 
     def mean(self, spec: Job, now: float) -> float:
         """The measured mean, or the owner's estimate if no task finished yet."""
+        if now - self.counted_at > 30.0:
+            self.means.clear()
+            self.counted_at = now
+        found = self.means.get(spec.lane)
+        if found is not None:
+            return found
         seen = self.seen.get(spec.lane)
         while seen and seen[0][0] < now - HISTORY_S:
             seen.popleft()
         if seen:
-            return max(MIN_RUN_S, sum(s for _, s in seen) / len(seen))
+            mean = self.means[spec.lane] = max(MIN_RUN_S, sum(s for _, s in seen) / len(seen))
+            return mean
         return max(MIN_RUN_S, spec.estimate or DEFAULT_RUN_S)
 
 
@@ -64,6 +75,7 @@
     tasks: int
     zones: dict[str, int]
     slack: float = 0.0
+    age: float = 0.0
 
 
 class PoolDemand:
@@ -82,6 +94,7 @@
         self.queued = 0.0
         self.backlog = 0.0
         self.gang = 0.0
+        self.apart = 0.0
         self.zones: dict[str, float] = {}
         self.capped = False
         self.machines = 0
@@ -104,7 +117,12 @@
         """c*: the optimum of cost against wait, and the raises."""
         rate = self.arrivals / self.window
         base = float(optimum(rate, 1 / self.mean_run, self.price, eta)) if rate else 0.0
-        return max(base + self.service, self.busy + self.queued + max(self.backlog, self.gang))
+        raised = self.busy + self.queued + max(self.backlog, self.gang)
+        if self.apart:
+            # A gang has waited for room of one zone: what is free, half a machine here and
+            # a whole one in another zone, does not help it, so the pool grows from its size.
+            raised = max(raised, self.machines * self.k + self.apart)
+        return max(base + self.service, raised)
 
 
 def effective_price(spec: Job, kind: MachineType, spot: bool, run: float, loss: float) -> float:
@@ -129,6 +147,7 @@
         window: float,
     ) -> None:
         self.window = window
+        self.refused = Refused()
         self.catalog, self.runs, self.now = catalog, runs, now
         self.blocked, self.losses = blocked, losses
         self.pools = {
@@ -192,16 +211,17 @@
                 self._pack_gang(need, rooms)
                 continue
             zones = dict(need.zones)
+            picker = None if self.refused.covers(spec) else Picker(spec, rooms, zones)
             for done in range(need.tasks):
-                room = choose(spec, rooms, zones)
+                room = picker.take() if picker else None
                 if room is None:
+                    if not (spec.apart or spec.together):
+                        self.refused.add(spec)
                     left = need.tasks - done
                     left -= self._relieved(need, left)
                     if left > 0:
                         self._grow(spec, left, zones)
                     break
-                room.take(spec)
-                zones[room.zone] = zones.get(room.zone, 0) + 1
                 self._queue(spec, PoolId(room.kind.name, room.spot))
 
     def _relieved(self, need: Need, tasks: int) -> int:
@@ -266,6 +286,8 @@
                     kept -= 1
             short = need.tasks - min(have[zone], need.tasks)
             demand.gang += short * w
+            if need.age > PATIENT_S:
+                demand.apart += short * w
             demand.zones[zone] = demand.zones.get(zone, 0.0) + short * w
             return
 
--- a/coursefold/coordination/effects.py
+++ b/coursefold/coordination/effects.py
@@ -14,8 +14,12 @@
     retry_after: int | None = None
 
 
+class Vouch(NamedTuple):
+    """Follow the state service up to now: questions wait that need a view as new as they are."""
+
+
 class Read(NamedTuple):
-    """Read a job through to the state service; the outcome comes back with the ticket."""
+    """Read a job's final state, which the view does not hold; the outcome comes back."""
 
     ticket: int
     job: str
@@ -30,7 +34,9 @@
 
 
 class Tell(NamedTuple):
-    """The newest summary goes to every sibling, now."""
+    """Frames wait for these siblings."""
+
+    members: list[str]
 
 
 class Direct(NamedTuple):
@@ -42,4 +48,4 @@
     orders: list[Order]
 
 
-Effect = Answer | Read | CloudCall | Tell | Direct
+Effect = Answer | Vouch | Read | CloudCall | Tell | Direct
--- a/coursefold/coordination/election.py
+++ b/coursefold/coordination/election.py
@@ -57,7 +57,7 @@
             if ctx.now - peer.at < 3.0:
                 blamed |= peer.complaints
         quiet = set()
-        for name in blamed:
+        for name in sorted(blamed):
             heard = ctx.peers.get(name)
             if name != ctx.me and (heard is None or ctx.now - heard.at > UNREACHABLE_S):
                 quiet.add(name)
@@ -76,7 +76,7 @@
         roster = ctx.view.roster
         live = ctx.view.members
         blamed = self._blamed()
-        for name in blamed:
+        for name in sorted(blamed):
             if name not in self.evicted:
                 log.info("member %s is out of reach of its workers and of us", name)
             self.evicted[name] = ctx.now
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -9,7 +9,7 @@
 import logging
 import math
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 from msgspec import Struct
@@ -19,7 +19,6 @@
 from coursefold.coordination.demand import Need, Planner, PoolDemand, PoolId, Runs
 from coursefold.coordination.effects import CloudCall
 from coursefold.coordination.leader import Leader
-from coursefold.coordination.parts import owner as owner_of
 from coursefold.coordination.pid import Gains, step
 from coursefold.coordination.placement import Room
 from coursefold.coordination.quota import Quota
@@ -34,17 +33,29 @@
 log = logging.getLogger(__name__)
 
 LIST_S = 3.0
+LIST_SHARE = 0.2  # of the cloud's rate; a list may take several pages
+HIRE = 50  # machines in one request, by the protocol
 CATALOG_S = 45.0
 BLOCK_S = 12.0
 SILENT_S = 45.0
+WATCH_S = 0.5
+
+
+class Seen(NamedTuple):
+    """What a machine's owner says of it."""
+
+    silent_s: float
+    sick: bool
+    lost: bool
+    deaf: bool
 
 
 class Known:
     """A machine that the leader believes to exist."""
 
     __slots__ = (
-        "build", "hired_at", "id", "listed_at", "lost", "sick", "silent_s", "spot", "status", "up",
-        "zone",
+        "build", "deaf_since", "hired_at", "id", "listed_at", "lost", "sick", "silent_s", "spot",
+        "status", "up", "zone",
     )  # fmt: skip
 
     def __init__(self, id: str, build: str, zone: str, spot: bool, hired_at: float) -> None:
@@ -55,6 +66,7 @@
         self.up = False
         self.lost = self.sick = False
         self.silent_s = 0.0
+        self.deaf_since = 0.0
 
     @property
     def pool(self) -> PoolId:
@@ -89,6 +101,7 @@
         self.lists = 0
         self.list_at = -math.inf
         self.plan_at = -math.inf
+        self.watch_at = -math.inf
         self.blocked: dict[tuple[str, str, bool], float] = {}
         self.refusals: dict[tuple[str, str, bool], int] = {}
         self.losses: dict[PoolId, Losses] = {}
@@ -166,7 +179,7 @@
             known.listed_at, known.status = ctx.now, row.status
         for known in list(self.known.values()):
             unlisted = ctx.now - max(known.listed_at, known.hired_at + lag)
-            if unlisted > 2 * lag + 2 * LIST_S and not self._reports(known):
+            if unlisted > 2 * lag + 2 * self._list_every() and not self._reports(known):
                 log.info("machine %s is listed no more", known.id)
                 self._lose(known)
 
@@ -208,7 +221,7 @@
             self.returned[name] = ctx.now
             self.returning.pop(name, None)
             self.known.pop(name, None)
-            ctx.machines.pop(name, None)
+            self.leader.owner.depart(name)
             self._gone(name)
 
     def _gone(self, machine: str) -> None:
@@ -227,6 +240,8 @@
     # Records
 
     def _hire_edit(self, pool: PoolId, name: str, hire: Hire | None) -> None:
+        room = self.ctx.settings.params.state.value_kb * 1024 - 200
+
         def change(current: Struct | None) -> Result:
             record = current if isinstance(current, PoolRecord) else PoolRecord()
             kept = [h for h in record.hires if h.name != name]
@@ -234,6 +249,11 @@
                 kept.append(hire)
             elif len(kept) == len(record.hires):
                 raise Void("not there")
+            # Answered rentals are kept for a successor that the cloud's list, which
+            # lags, does not tell of them; at hundreds of machines the oldest have to go.
+            answered = [h for h in kept if h.machines is not None]
+            while answered and records.size(records.dump(PoolRecord(hires=kept))) > room:
+                kept.remove(answered.pop(0))
             return msgspec.structs.replace(record, hires=kept)
 
         self.ctx.queue.propose(Edit(pool_key(str(pool)), change, fence=self.ctx.view.token))
@@ -253,17 +273,19 @@
             self.asked.clear()
         if ctx.view.catalog is None or ctx.now - self.catalog_at > CATALOG_S:
             self._call("catalog", {}, None)
-        if ctx.now - self.list_at > LIST_S and self._call("list", {"Page": 500}, None):
+        if ctx.now - self.list_at > self._list_every() and self._call("list", {"Page": 500}, None):
             self.list_at = ctx.now
             self.listed = []
         if ctx.view.catalog is None:
             return
-        self._watch()
-        self.leader.booting = [
-            (k.build, k.zone, k.spot)
-            for k in self.known.values()
-            if not k.up and k.id not in self.returning
-        ]
+        if ctx.now - self.watch_at >= WATCH_S:
+            self.watch_at = ctx.now
+            self._watch()
+            self.leader.booting = [
+                (k.build, k.zone, k.spot)
+                for k in self.known.values()
+                if not k.up and k.id not in self.returning
+            ]
         self.leader.blocked = {spot for spot, until in self.blocked.items() if until > ctx.now}
         self._send_hires()
         self._send_returns()
@@ -272,6 +294,11 @@
             self.plan_at = ctx.now
             self._plan(ctx.view.catalog, elapsed)
 
+    def _list_every(self) -> float:
+        """Seconds from one list to the next: a large fleet's takes more calls."""
+        pages = 1 + len(self.known) // 400
+        return max(LIST_S, pages / (LIST_SHARE * self.ctx.settings.params.cloud.rps))
+
     def _reports(self, known: Known) -> bool:
         """True while the machine's owner hears from it."""
         return known.up and known.silent_s < self.ctx.alive_within()
@@ -281,9 +308,11 @@
         ctx = self.ctx
         roster = ctx.view.roster
         assert roster is not None
-        seen: dict[str, tuple[float, bool, bool]] = {}
+        seen: dict[str, Seen] = {}
         for m in ctx.machines.values():
-            seen[m.id] = (ctx.now - m.heard, m.sick, m.lost)
+            if not m.proven:
+                continue  # perhaps a late copy of a report, or a machine that does not hear us
+            seen[m.id] = Seen(ctx.now - m.heard, m.sick, m.lost, m.deaf)
             if not m.lost:
                 self._adopt(m.id, m.build, m.zone, m.spot)
         fresh = {ctx.me}
@@ -293,7 +322,7 @@
             fresh.add(peer.member)  # type: ignore[arg-type]
             for pm in peer.machines.values():
                 if pm.id not in seen:
-                    seen[pm.id] = (pm.silent_s + ctx.now - peer.at, pm.sick, pm.lost)
+                    seen[pm.id] = Seen(pm.silence(ctx.now), pm.sick, pm.lost, pm.deaf)
                     if not pm.lost:
                         self._adopt(pm.id, pm.build, pm.zone, pm.spot)
         lease = ctx.settings.params.workers.lease_s
@@ -305,8 +334,13 @@
             boot = kind.boot if kind else 60.0
             age = ctx.now - known.hired_at
             if known.id in seen:
-                known.silent_s, sick, lost = seen[known.id]
+                known.silent_s, sick, lost, deaf = seen[known.id]
                 known.up = True
+                known.deaf_since = 0.0 if not deaf else known.deaf_since or ctx.now
+                if deaf and ctx.now - known.deaf_since > 2.0 * lease:
+                    # Its reports come, our answers do not arrive: nothing can be run there,
+                    # and what ran there ended with its lease, or ends with the return.
+                    self._give_up(known, "does not hear us")
                 if lost != known.lost:
                     known.lost = lost
                     self._count_loss(known, lost)
@@ -320,9 +354,9 @@
             elif known.status == "failed":
                 self._give_up(known, "failed")
             elif not known.up and age > 2.0 * boot + 20.0 and settled:
-                if owner_of(known.id, known.zone, roster) in fresh:
+                if ctx.owner(known.id, known.zone) in fresh:
                     self._give_up(known, "never up")
-            elif known.up and settled and owner_of(known.id, known.zone, roster) in fresh:
+            elif known.up and settled and ctx.owner(known.id, known.zone) in fresh:
                 self._give_up(known, "not heard under this roster")
         self._orphans(seen, fresh, settled)
         for name, at in list(self.returned.items()):
@@ -333,9 +367,7 @@
         if id not in self.known and id not in self.returned:
             self.known[id] = Known(id, build, zone, spot, self.ctx.now)
 
-    def _orphans(
-        self, seen: dict[str, tuple[float, bool, bool]], fresh: set[Any], settled: bool
-    ) -> None:
+    def _orphans(self, seen: dict[str, Seen], fresh: set[Any], settled: bool) -> None:
         """Places on machines that nobody hears and no list shows: prove them gone."""
         ctx = self.ctx
         roster = ctx.view.roster
@@ -343,11 +375,13 @@
             return
         waited = ctx.now - ctx.token_since
         cancel = ctx.settings.params.workers.cancel_s
-        for machine, entries in list(ctx.view.by_machine().items()):
-            placed = [(j, e) for j, e in entries if e.stage != DEALT]
-            if not placed or machine in seen:
+        for machine in ctx.view.occupied():
+            if machine in seen:
                 continue
-            if owner_of(machine, placed[0][1].zone, roster) not in fresh:
+            placed = [(j, e) for j, e in ctx.view.on_machine(machine) if e.stage != DEALT]
+            if not placed:
+                continue
+            if ctx.owner(machine, placed[0][1].zone) not in fresh:
                 continue
             if waited > cancel * DRIFT + 5.0:
                 # Longer than any former owner may have gone on renewing its lease.
@@ -476,7 +510,7 @@
         """Arrivals of the window, tasks in place, tasks that wait."""
         ctx = self.ctx
         teams = ctx.settings.params.teams
-        quota = Quota(teams, ctx.view.jobs.values())
+        quota = Quota(teams, ctx.view.usage)
         for name, job in ctx.view.jobs.items():
             if name not in self.arrivals and ctx.wall - job.at < self.parameters.arrivals_window:
                 self.arrivals[name] = (job.at, job.spec)
@@ -497,12 +531,12 @@
             zones: dict[str, int] = {}
             for e in wait.job.entries:
                 zones[e.zone] = zones.get(e.zone, 0) + 1
-            needs.append(Need(spec, count, zones, wait.slack))
-        for machine, entries in ctx.view.by_machine().items():
+            needs.append(Need(spec, count, zones, wait.slack, ctx.wall - wait.job.at))
+        for machine in ctx.view.occupied():
             known = self.known.get(machine)
             if known is not None:
-                for job_id, _ in entries:
-                    planner.running(ctx.view.jobs[job_id].spec, known.pool)
+                for spec in ctx.view.load(machine).specs:
+                    planner.running(spec, known.pool)
         planner.pack(needs, self._all_rooms())
 
     def _all_rooms(self) -> list[Room]:
@@ -523,9 +557,7 @@
         ctx = self.ctx
         target = demand.target(self.parameters.eta)
         size = demand.machines * demand.k
-        booting = any(
-            not k.up and k.id not in self.returning for k in self.known.values() if k.pool == pool
-        )
+        booting = (pool.build, pool.spot) in {(b, spot) for b, _, spot in self.leader.booting}
         error = target - size
         last, integral = self.errors.get(pool, (0.0, 0.0))
         result = step(error, last, integral, self.gains, hold=booting, clamp=float(demand.k))
@@ -612,12 +644,15 @@
             else:
                 needs[zone] -= 1
             split[zone] += 1
-        for zone, count in split.items():
-            if count:
-                self.hires += 1
-                name = f"r-{ctx.view.token}-{self.hires}"
-                log.info("rent %d of %s in %s (%s)", count, pool, zone, name)
-                self._hire_edit(pool, name, Hire(name, zone, pool.spot, min(count, 50), ctx.wall))
+        while any(split.values()):
+            for zone, left in split.items():
+                count = min(left, HIRE)
+                if count:
+                    split[zone] -= count
+                    self.hires += 1
+                    name = f"r-{ctx.view.token}-{self.hires}"
+                    log.info("rent %d of %s in %s (%s)", count, pool, zone, name)
+                    self._hire_edit(pool, name, Hire(name, zone, pool.spot, count, ctx.wall))
 
     def _give_back(self, pool: PoolId, most: int) -> None:
         """Return machines that are empty and have been for a while."""
--- a/coursefold/coordination/jobs.py
+++ b/coursefold/coordination/jobs.py
@@ -5,6 +5,9 @@
 the task is done or its place is proven gone.
 """
 
+from collections.abc import Sequence
+from typing import NamedTuple
+
 import msgspec
 from msgspec import Struct
 
@@ -28,14 +31,29 @@
 
 
 def settle(job: JobRecord) -> Result:
-    """The record itself, or its ending when nothing of it is left to do."""
+    """The record itself, or its ending when nothing of it is left to do.
+
+    The ending takes the record's place, which is one change; it moves to where it
+    stays (`sweep`) when there is nothing more urgent to write.
+    """
     if job.status == records.CANCELLED and not job.entries:
-        return End(Ending(records.CANCELLED, job.spec.tasks))
+        return Ending(records.CANCELLED, job.spec.tasks)
     if job.status == records.LIVE and job.done_count >= job.spec.tasks:
-        return End(Ending(records.DONE, job.spec.tasks))
+        return Ending(records.DONE, job.spec.tasks)
     return job
 
 
+def sweep() -> Change:
+    """Move an ending out of the live jobs' keys, so that a starting node need not read it."""
+
+    def change(record: Struct | None) -> Result:
+        if not isinstance(record, Ending):
+            raise Void("not ended")
+        return End(record)
+
+    return change
+
+
 def accept(spec: Job, at: float) -> Change:
     """A new job; Void where it is known already."""
 
@@ -58,15 +76,29 @@
     return change
 
 
-def deal(index: int, owner: str, zone: str, machine: str) -> Change:
-    """Hand a waiting task to an owner; `machine` is only a hint."""
+class Dealt(NamedTuple):
+    """A waiting task handed to an owner; `machine` is only a hint."""
+
+    number: int
+    owner: str
+    zone: str
+    machine: str
+
+
+def deal(tasks: list[Dealt]) -> Change:
+    """Hand waiting tasks to owners; those that no longer wait are left out."""
 
     def change(record: Struct | None) -> Result:
         job = _live(record)
-        if job.is_done(index) or any(e.index == index for e in job.entries):
+        taken = {e.index for e in job.entries}
+        new = [
+            Entry(t.number, DEALT, job.attempt, t.owner, t.zone, t.machine)
+            for t in tasks
+            if t.number not in taken and not job.is_done(t.number)
+        ]
+        if not new:
             raise Void("not waiting")
-        entry = Entry(index, DEALT, job.attempt, owner, zone, machine)
-        return msgspec.structs.replace(job, entries=[*job.entries, entry])
+        return msgspec.structs.replace(job, entries=[*job.entries, *new])
 
     return change
 
@@ -88,20 +120,39 @@
     return change
 
 
-def place(index: int, owner: str, zone: str, machine: str, session: int) -> Change:
-    """Give a dealt (or waiting) task its machine; the attempt's number is new."""
+class Task(NamedTuple):
+    """A task at a place, as a step names it; what a step does not need is left empty."""
+
+    number: int
+    attempt: int = 0
+    zone: str = ""
+    machine: str = ""
+    session: int = 0
+
+
+def place(owner: str, tasks: Sequence[Task]) -> Change:
+    """Give dealt (or waiting) tasks their machines; each attempt's number is new.
+
+    Those that are done, or no longer the owner's to place, are left out.
+    """
 
     def change(record: Struct | None) -> Result:
         job = _live(record)
-        if job.is_done(index):
-            raise Void("done")
-        now = next((e for e in job.entries if e.index == index), None)
-        if now is not None and (now.stage != DEALT or now.owner != owner):
-            raise Void("not dealt to us")
-        attempt = job.attempt + 1
-        entry = Entry(index, PLACED, attempt, owner, zone, machine, session)
-        rest = [e for e in job.entries if e.index != index]
-        return msgspec.structs.replace(job, attempt=attempt, entries=[*rest, entry])
+        entries = {e.index: e for e in job.entries}
+        attempt = job.attempt
+        for task in tasks:
+            now = entries.get(task.number)
+            if job.is_done(task.number):
+                continue
+            if now is not None and (now.stage != DEALT or now.owner != owner):
+                continue
+            attempt += 1
+            entries[task.number] = Entry(
+                task.number, PLACED, attempt, owner, task.zone, task.machine, task.session
+            )
+        if attempt == job.attempt:
+            raise Void("nothing of it is ours to place")
+        return msgspec.structs.replace(job, attempt=attempt, entries=list(entries.values()))
 
     return change
 
@@ -175,7 +226,7 @@
         if job.status == records.CANCELLED:
             return settle(msgspec.structs.replace(job, entries=kept))
         if job.spec.shape == "ensemble":
-            return End(Ending(records.DONE, job.spec.tasks))
+            return Ending(records.DONE, job.spec.tasks)
         done = records.add_done(job.done, index)
         return settle(msgspec.structs.replace(job, entries=kept, done=done, errors=0))
 
@@ -205,3 +256,36 @@
         )
 
     return change
+
+
+class Step(NamedTuple):
+    """An owner's edit in a form that can be sent to the leader."""
+
+    kind: str
+    tasks: tuple[Task, ...]
+    owner: str
+    at: float = 0.0
+
+    def valid(self) -> bool:
+        """False for what no owner would send."""
+        several = self.kind == "place"
+        return self.kind in KINDS and (len(self.tasks) == 1 or (several and bool(self.tasks)))
+
+    def change(self) -> Change:
+        if self.kind == "place":
+            return place(self.owner, self.tasks)
+        task = self.tasks[0]
+        if self.kind == "stop":
+            return stopping(task.number, task.attempt)
+        if self.kind == "stop_all":
+            return stopping(None, task.attempt)
+        if self.kind == "gone":
+            return gone(task.number, task.machine, task.attempt)
+        if self.kind == "finish":
+            return finish(task.number, task.machine, task.attempt)
+        if self.kind == "failed":
+            return failed(task.number, task.machine, task.attempt, self.at)
+        return undeal(task.number, self.owner)
+
+
+KINDS = frozenset({"place", "stop", "stop_all", "gone", "finish", "failed", "undeal"})
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -13,11 +13,12 @@
 from coursefold.coordination.demand import Runs
 from coursefold.coordination.ordering import Order, Ordering
 from coursefold.coordination.owner import Owner
-from coursefold.coordination.placement import Room, choose
+from coursefold.coordination.placement import Picker, Refused, Room
 from coursefold.coordination.quota import Quota
 from coursefold.protocol.ids import JobId
+from coursefold.protocol.wire import Job
 from coursefold.storage.queue import Edit
-from coursefold.storage.records import DEALT, LIVE, PLACED, JobRecord, job_key
+from coursefold.storage.records import PLACED, JobRecord, job_key
 
 log = logging.getLogger(__name__)
 
@@ -68,6 +69,10 @@
         self.runs = Runs()
         self.ordering = Ordering(ctx.settings.params.objectives)
         self.preemption = preemption.Preemption(ctx)
+        self.flying: dict[JobId, set[int]] = {}
+        self.refused = Refused()
+        self.gangs_refused: dict[tuple[object, ...], int] = {}
+        self.why: dict[tuple[object, ...], str] = {}
 
     def most_entries(self) -> int:
         """As many tasks at once as a record has room for."""
@@ -78,9 +83,7 @@
         """Jobs that could start something now, the most pressing first."""
         ctx = self.ctx
         found = []
-        for name, job in ctx.view.jobs.items():
-            if job.status != LIVE or job.waiting_count <= 0:
-                continue
+        for name, job in ctx.view.waiting.items():
             if job.retry_at > ctx.wall:
                 self.reasons[name] = "its tasks failed; it is tried again later"
                 continue
@@ -97,15 +100,31 @@
             self.wanted.clear()
             return
         self._undeal_lost()
-        self.reasons.clear()
+        self.reasons = {}
         self.short.clear()
-        quota = Quota(ctx.settings.params.teams, ctx.view.jobs.values())
+        self.why.clear()
+        self.refused = Refused()
+        self.gangs_refused = {}
+        self.preemption.begin()
+        quota = Quota(ctx.settings.params.teams, ctx.view.usage)
         for (name, index), (_, spec) in ctx.pending.items():
-            job = ctx.view.jobs.get(JobId(name))
-            if job is not None and not any(e.index == index for e in job.entries):
+            if ctx.view.entry(JobId(name), index) is None and JobId(name) in ctx.view.jobs:
                 quota.take(spec, 1)
-        rooms = ctx.rooms()
+        self.flying = {}
+        for key, index in ctx.pending:
+            self.flying.setdefault(JobId(key), set()).add(index)
         queue = self.queue(quota)
+        if queue:
+            self._deal_all(queue, quota)
+        for machine in [m for m, until in self.wanted.items() if until < ctx.now]:
+            del self.wanted[machine]
+        for wait in queue:
+            if wait.order.late and wait.name in self.reasons:
+                self.reasons[wait.name] += "; it is late for its aims"
+        self._tell_reasons()
+
+    def _deal_all(self, queue: list[Waiting], quota: Quota) -> None:
+        rooms = self.ctx.rooms()
         # Ordinary machines first to those that may use no others: a task that may run
         # on spot machines would sit where a gang or replica could be, and be stopped.
         short = False
@@ -117,12 +136,6 @@
         for wait in queue:
             if wait.job.spec.spot:
                 self._serve(wait, rooms, quota)
-        for machine in [m for m, until in self.wanted.items() if until < ctx.now]:
-            del self.wanted[machine]
-        for wait in queue:
-            if wait.order.late and wait.name in self.reasons:
-                self.reasons[wait.name] += "; it is late for its aims"
-        self._tell_reasons()
 
     def _serve(self, wait: Waiting, rooms: list[Room], quota: Quota) -> bool:
         """Place what can be; False if the job still waits for room."""
@@ -135,6 +148,13 @@
     def _why_no_room(self, job: JobRecord) -> str:
         """In a user's words: machines are booting, the cloud is empty, or all are busy."""
         spec = job.spec
+        kind = (tuple(spec.builds or ()), spec.zone, spec.spot)
+        found = self.why.get(kind)
+        if found is None:
+            found = self.why[kind] = self._look_why(spec)
+        return found
+
+    def _look_why(self, spec: Job) -> str:
 
         def fits(place: tuple[str, str, bool]) -> bool:
             build, zone, spot = place
@@ -169,17 +189,18 @@
         """Deals to owners that are no longer members go back into the queue."""
         ctx = self.ctx
         roster = ctx.view.roster
-        for name, job in ctx.view.jobs.items():
-            for e in job.entries:
-                if e.stage == DEALT and (roster is None or roster.member(e.owner) is None):
-                    ctx.queue.propose(
-                        Edit(
-                            job_key(name),
-                            jobs.undeal(e.index, e.owner),
-                            fence=ctx.view.token,
-                            tag=f"undeal{e.index}",
-                        )
+        for owner, dealt in ctx.view.dealt.items():
+            if roster is not None and roster.member(owner) is not None:
+                continue
+            for (name, index), _ in dealt.items():
+                ctx.queue.propose(
+                    Edit(
+                        job_key(name),
+                        jobs.undeal(index, owner),
+                        fence=ctx.view.token,
+                        tag=f"undeal{index}",
                     )
+                )
 
     def _zones(self, job: JobRecord) -> dict[str, int]:
         zones: dict[str, int] = {}
@@ -191,49 +212,55 @@
         """Deal a job's waiting tasks one by one while room, limit and record allow."""
         ctx = self.ctx
         name, job = wait.name, wait.job
-        flying = {index for key, index in ctx.pending if key == name}
+        flying = self.flying.get(name, set())
         room_left = self.most_entries() - len(job.entries) - len(flying)
         zones = self._zones(job)
         if flying and (job.spec.apart or job.spec.together):
             return  # zones of what is under way are not settled yet
-        for index in job.waiting(min(room_left, 60) + len(flying) if room_left > 0 else 0):
+        picker: Picker | None = None
+        deals: list[jobs.Dealt] = []
+        places: list[jobs.Task] = []
+        for index in job.waiting(min(room_left, 200) + len(flying) if room_left > 0 else 0):
             if index in flying:
                 continue
             if not quota.fits(job.spec, 1):
                 self.reasons[name] = quota.why_not(job.spec)
-                return
-            room = choose(job.spec, rooms, zones, avoid=job.failed_on)
+                break
+            if picker is None and not self.refused.covers(job.spec):
+                picker = Picker(job.spec, rooms, zones, avoid=job.failed_on)
+            room = picker.take() if picker else None
             if room is None:
+                if not (job.spec.apart or job.spec.together):
+                    self.refused.add(job.spec)
                 self.short.add(name)
                 self.reasons[name] = self._why_no_room(job)
                 self.preemption.consider(wait.name, job, index, rooms, wait.within, quota)
-                return
-            room.take(job.spec)
+                break
             quota.take(job.spec, 1)
-            zones[room.zone] = zones.get(room.zone, 0) + 1
             if room.owner == ctx.me:
-                self.owner.propose_place(name, job, index, room.id, room.zone, room.session)
+                places.append(jobs.Task(index, 0, room.zone, room.id, room.session))
             else:
-                self._deal(name, job, index, room)
+                deals.append(jobs.Dealt(index, room.owner, room.zone, room.id))
+        if places:
+            self.owner.propose_place(name, job, places)
+        if deals:
+            self._deal(name, job, deals)
 
-    def _deal(self, name: JobId, job: JobRecord, index: int, room: Room) -> None:
+    def _deal(self, name: JobId, job: JobRecord, deals: list[jobs.Dealt]) -> None:
         ctx = self.ctx
-        key = (name, index)
-        ctx.pending[key] = (room.id, job.spec)
+        for task in deals:
+            ctx.pending[(name, task.number)] = (task.machine, job.spec)
 
         def settled(ok: bool, why: str) -> None:
-            ctx.pending.pop(key, None)
-            log.debug("deal %s/%d to %s: %s", name, index, room.owner, why or "done")
+            for task in deals:
+                ctx.pending.pop((name, task.number), None)
+            log.debug(
+                "deal %s: %s: %s", name, ",".join(f"{t.number}:{t.owner}" for t in deals),
+                why or "done",
+            )  # fmt: skip
 
-        edit = Edit(
-            job_key(name),
-            jobs.deal(index, room.owner, room.zone, room.id),
-            fence=ctx.view.token,
-            tag=f"deal{index}",
-            done=settled,
-        )
-        if not ctx.queue.propose(edit):
-            ctx.pending.pop(key, None)
+        edit = Edit(job_key(name), jobs.deal(deals), fence=ctx.view.token, done=settled)
+        ctx.queue.propose(edit)
 
     def _gang(self, wait: Waiting, rooms: list[Room], quota: Quota) -> None:
         """Place a whole gang; machines of other owners have to be lent first."""
@@ -247,10 +274,17 @@
             return
         if not quota.fits(job.spec, job.spec.tasks):
             self.reasons[name] = quota.why_not(job.spec)
+            if self.ordering.starving(job.spec, ctx.wall - job.at):
+                # Else its team's small jobs, which fit what is left, would go on for ever.
+                quota.take(job.spec, job.spec.tasks)
             return
         usable = [r for r in rooms if not r.lent or r.id in self.wanted]
-        plan = gangs.fill(job.spec, usable)
+        kind = (job.spec.zone, job.spec.spot, tuple(job.spec.builds or ()), job.spec.together)
+        size = (job.spec.cpus, job.spec.gpus, job.spec.memory)
+        least = self.gangs_refused.get((*kind, *size), 1 << 30)
+        plan = gangs.fill(job.spec, usable) if job.spec.tasks < least else None
         if plan is None:
+            self.gangs_refused[(*kind, *size)] = min(least, job.spec.tasks)
             self.short.add(name)
             self.reasons[name] = f"{self._why_no_room(job)} ({job.spec.tasks} tasks at once)"
             for room in gangs.reserve(job.spec, usable):
--- a/coursefold/coordination/ordering.py
+++ b/coursefold/coordination/ordering.py
@@ -3,8 +3,9 @@
 Each class's objectives and each job's deadline give latest start times. A job
 that can still meet one goes before a job that is late for all of them, and a
 small gang before a large one: when there is room for either, more users are
-served in time. What has waited very long comes first again, so that nothing
-starves.
+served in time. What has waited long comes before all else of its rank, whatever
+its size: room for a large gang has to be gathered, and small ones that keep
+coming would nibble it away for ever.
 """
 
 from typing import NamedTuple
@@ -12,6 +13,7 @@
 from coursefold.protocol.wire import RANKS, Job
 from coursefold.settings import Objective
 
+LONG_S = 60.0  # a large job has to start within minutes, and gathering room takes one
 STARVED_S = 600.0
 
 
@@ -44,6 +46,11 @@
             elif aim.kind == "guarantee":
                 self.guarantees.append(aim.within_s)
 
+    @staticmethod
+    def starving(spec: Job, age: float) -> bool:
+        """A gang that has waited so long that room, and its team's quota, is kept for it."""
+        return spec.shape == "ensemble" and age > LONG_S
+
     def latest_starts(self, spec: Job, run: float, within: bool) -> list[float]:
         """Seconds after submission by which the job must start for each of its aims."""
         starts = list(self.waits.get(spec.lane, []))
@@ -62,6 +69,8 @@
             group = min(group, 1)
         starts = self.latest_starts(spec, run, within)
         ahead = [s - age for s in starts if s > age]
+        if self.starving(spec, age):
+            return Order(min(group, 1), rank, False, 0, 0.0, -age, name)
         late = bool(starts) and not ahead
-        size = spec.tasks if spec.shape == "ensemble" and age <= STARVED_S else 0
+        size = spec.tasks if spec.shape == "ensemble" else 0
         return Order(group, rank, late, size, ahead[0] if ahead else 0.0, -age, name)
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -6,17 +6,16 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from coursefold.coordination import jobs
 from coursefold.coordination.context import DRIFT, Context, Machine
 from coursefold.coordination.effects import Answer, Direct
 from coursefold.coordination.election import Election
-from coursefold.coordination.parts import owner as owner_of
-from coursefold.coordination.placement import choose
+from coursefold.coordination.placement import SLACK, Picker, Refused, Room
 from coursefold.protocol.ids import JobId, parse_task
-from coursefold.protocol.wire import Order, Report, TaskReport
-from coursefold.storage.queue import LATER, SOON, Change, Edit
+from coursefold.protocol.wire import Job, Order, Report, TaskReport
+from coursefold.storage.queue import LATER, SOON, Edit
 from coursefold.storage.records import (
     CANCELLED,
     DEALT,
@@ -36,13 +35,25 @@
 # than `gang_wait_s`; the image is here now, and the attempt is not lost by it.
 AGAIN = frozenset({"busy", "incomplete"})
 
+ALONE_S = 8.0  # without state service and siblings: then it is most likely we who are cut off
+SWEEP_S = 0.5
+UNHEEDED = 2
+FORGET_S = 120.0
+DEPARTED = 2000
+
 
 class Owner:
     """Acts for the machines whose hash falls to this node."""
 
-    def __init__(self, ctx: Context, election: Election) -> None:
-        self.ctx, self.election = ctx, election
+    def __init__(
+        self, ctx: Context, election: Election, forward: Callable[[JobId, jobs.Step, Edit], bool]
+    ) -> None:
+        self.ctx, self.election, self.forward = ctx, election, forward
         self.dealt_since: dict[tuple[str, int], float] = {}
+        self.swept_at = -1e9
+        self.swept_token = -1
+        self.departed: dict[str, tuple[int, int]] = {}
+        self.watched: set[str] = set()
 
     # Reports
 
@@ -53,7 +64,7 @@
         if roster is None or not ctx.view.loaded:
             self._refuse(ticket)
             return
-        owner = owner_of(r.machine, r.zone, roster)
+        owner = ctx.owner(r.machine, r.zone)
         if owner != ctx.me:
             if ctx.now - ctx.follow_ok_at > 8.0 or owner is None:
                 self._refuse(ticket)
@@ -68,27 +79,66 @@
                 self._refuse(ticket)
             return
         m = self._machine(r)
-        if (r.session, r.counter) <= (m.session, m.counter):
+        if m is None or (r.session, r.counter) <= (m.session, m.counter):
             self._refuse(ticket)  # late or reordered: its list is as old as it is
             return
+        self._heed(m, r)
         self._take(m, r)
         orders = self._orders(m, r)
         m.answered = ctx.now
+        m.awaited = {(o.task, o.attempt) for o in orders if o.verb == "run"}
         ctx.out.append(Answer(ticket, 200, {"Baton": ctx.view.token, "Orders": orders}))
 
     def _refuse(self, ticket: int) -> None:
         self.ctx.out.append(Answer(ticket, 503, {"error": "not entitled"}, retry_after=1))
 
-    def _machine(self, r: Report) -> Machine:
-        m = self.ctx.machines.get(r.machine)
+    def _machine(self, r: Report) -> Machine | None:
+        """The machine that reports; None if this is a late copy from one that has left."""
+        ctx = self.ctx
+        m = ctx.machines.get(r.machine)
         if m is None:
+            if (r.session, r.counter) <= self.departed.get(r.machine, (-1, -1)):
+                return None
             m = Machine(r.machine, r.build, r.zone, r.spot)
-            m.idle_since = self.ctx.now
-            self.ctx.machines[r.machine] = m
-            self.ctx.tell = True
+            m.idle_since = ctx.now
+            ctx.machines[r.machine] = m
             log.info("machine %s (%s, %s%s) reports", m.id, m.build, m.zone, ", spot" * m.spot)
         return m
 
+    def depart(self, machine: str) -> None:
+        """A machine of our part is no more. What of its reports comes late is told by this."""
+        m = self.ctx.machines.pop(machine, None)
+        if m is not None:
+            self.departed[machine] = (m.session, m.counter)
+            while len(self.departed) > DEPARTED:
+                del self.departed[next(iter(self.departed))]
+
+    def _heed(self, m: Machine, r: Report) -> None:
+        """Does the machine hear us? Its reports alone do not say so.
+
+        A machine whose way in is cut goes on reporting. Then what we command is not
+        listed in the next report, and its lease ends although we answered. A copy
+        of an old report also looks like a live machine; but only one that got our
+        answers can know our token, so until then it counts as unproven.
+        """
+        ctx = self.ctx
+        if r.token == ctx.view.token and not m.proven:
+            m.proven = ctx.tell = True
+        listed = {(item.task, item.attempt) for item in r.tasks}
+        missed = m.awaited and r.session == m.session and not m.awaited & listed
+        m.unheeded = m.unheeded + 1 if missed else 0 if m.awaited else m.unheeded
+        m.awaited = set()
+        lease = ctx.settings.params.workers.lease_s
+        if r.session > m.session > 0 and ctx.now - m.answered < 0.9 * lease:
+            m.deaf_until = ctx.now + 1.5 * lease  # its lease ended although we had answered
+        elif m.unheeded >= UNHEEDED:
+            m.deaf_until = ctx.now + lease
+        if r.session != m.session:
+            m.unheeded = 0
+        if m.deaf_until > ctx.now and not m.deaf:
+            m.deaf = ctx.tell = True
+            log.info("machine %s reports, but does not hear us", m.id)
+
     def may_keep(self) -> bool:
         """Without the state service: may we go on renewing our workers' leases?
 
@@ -106,13 +156,17 @@
             return False  # only we are refused: let the others have our workers
         if len(peers) == len(ctx.settings.siblings) and all(p.state_age > 2.0 for p in peers):
             return True
+        if not peers and ctx.settings.siblings:
+            # Neither the state service nor any sibling: the others, who may have both,
+            # can take our workers over before their leases end, if we let them go.
+            return silence < min(ALONE_S, workers.cancel_s - workers.lease_s * DRIFT - 5.0)
         return silence < workers.cancel_s - workers.lease_s * DRIFT - 5.0
 
     def _keep(self, r: Report, ticket: int) -> None:
         """Renew a lease and command nothing but the end of cancelled tasks."""
         ctx = self.ctx
         m = self._machine(r)
-        if (r.session, r.counter) <= (m.session, m.counter):
+        if m is None or (r.session, r.counter) <= (m.session, m.counter):
             self._refuse(ticket)
             return
         self._take(m, r)
@@ -197,7 +251,7 @@
         place = (job_id, entry.index)
         listed = m.tasks.get(place)
         if entry.session < r.session:
-            self._edit(job_id, jobs.gone(entry.index, m.id, entry.attempt), f"gone{entry.index}")
+            self._gone(job_id, entry, m)
             return
         if listed is not None and listed.state != "exited":
             return
@@ -211,7 +265,10 @@
         # any we answered, shows what came of our own `run`. Only under our own token:
         # a former owner's `run` could still be on its way to a worker without it.
         if r.token == ctx.view.token:
-            self._edit(job_id, jobs.gone(entry.index, m.id, entry.attempt), f"gone{entry.index}")
+            self._gone(job_id, entry, m)
+
+    def _gone(self, job_id: JobId, entry: Entry, m: Machine) -> None:
+        self._step(job_id, "gone", entry, f"gone{entry.index}", machine=m.id)
 
     def _drain(self, m: Machine, job_id: JobId, job: JobRecord, entry: Entry) -> None:
         """Save a task's progress before its machine is taken."""
@@ -220,8 +277,8 @@
         left = m.recall_at - self.ctx.now
         report = self.ctx.settings.params.workers.report_s
         if job.spec.save < left < job.spec.save + 2.5 * report + 2.0:
-            index = None if job.spec.shape == "ensemble" else entry.index
-            self._edit(job_id, jobs.stopping(index, entry.attempt), f"stop{entry.index}")
+            kind = "stop_all" if job.spec.shape == "ensemble" else "stop"
+            self._step(job_id, kind, entry, f"stop{entry.index}")
 
     def _exited(self, m: Machine, job_id: JobId, entry: Entry, item: TaskReport) -> None:
         """Record an exit; `forget` follows once it is recorded."""
@@ -229,20 +286,20 @@
         cause = item.cause
         job = ctx.view.jobs[job_id]
         tag = f"exit{entry.index}.{entry.attempt}"
-        change: Change
+        begun = None
         if cause == "done":
-            change = jobs.finish(entry.index, m.id, entry.attempt)
+            kind = "finish"
             begun = m.running.pop((job_id, entry.index, entry.attempt), None)
-            if begun is not None and not ctx.queue.busy(job_key(job_id)):
-                ctx.finished.append((job.spec.lane, ctx.now - begun))
             m.failures.clear()
         elif cause in ("error", "unknown"):
-            change = jobs.failed(entry.index, m.id, entry.attempt, ctx.wall)
+            kind = "failed"
             if cause == "error":
                 self._suspect(m, job_id, job)
         else:
-            change = jobs.gone(entry.index, m.id, entry.attempt)
-        if self._edit(job_id, change, tag):
+            kind = "gone"
+        if self._step(job_id, kind, entry, tag, machine=m.id):
+            if begun is not None:
+                ctx.finished.append((job.spec.lane, ctx.now - begun))
             log.info("task %s/%d#%d on %s: %s", job_id, entry.index, entry.attempt, m.id, cause)
 
     def _suspect(self, m: Machine, job_id: JobId, job: JobRecord) -> None:
@@ -262,26 +319,54 @@
             self.ctx.tell = True
             log.info("machine %s fails what it starts (%s): out of use", m.id, ",".join(names))
 
-    def _edit(
+    def _step(
+        self, job_id: JobId, kind: str, entry: Entry, tag: str, *, machine: str = "",
+        rank: int = SOON,
+    ) -> bool:  # fmt: skip
+        """Have one task's step written; False if it is under way already."""
+        task = jobs.Task(entry.index, entry.attempt, machine=machine)
+        return self._write(job_id, jobs.Step(kind, (task,), self.ctx.me, self.ctx.wall), tag, rank)
+
+    def _write(
         self,
         job_id: JobId,
-        change: Change,
+        step: jobs.Step,
         tag: str,
         rank: int = SOON,
         done: Callable[[bool, str], None] | None = None,
     ) -> bool:
-        ctx = self.ctx
-        return ctx.queue.propose(
-            Edit(job_key(job_id), change, rank=rank, fence=ctx.view.token, tag=tag, done=done)
+        edit = Edit(
+            job_key(job_id),
+            step.change(),
+            rank=rank,
+            fence=self.ctx.view.token,
+            tag=tag,
+            done=done,
         )
+        return self.forward(job_id, step, edit)
 
     # The part
 
     def tick(self) -> None:
+        """What changed at once; the whole part twice a second."""
         ctx = self.ctx
+        moved, ctx.view.moved = ctx.view.moved, {}
         if not ctx.active():
             return
-        lease = ctx.settings.params.workers.lease_s
+        for machine in moved:
+            m = ctx.machines.get(machine)
+            if m is not None and not m.lost:
+                self._stop_now(m)
+        if ctx.now - self.swept_at >= SWEEP_S or self.swept_token != ctx.view.token:
+            self.swept_at, self.swept_token = ctx.now, ctx.view.token
+            self._sweep()
+        self.place()
+
+    def _sweep(self) -> None:
+        """Which of our machines are silent."""
+        ctx = self.ctx
+        lease = ctx.settings.params.workers.lease_s * DRIFT + 0.5
+        alive = ctx.alive_within()
         for m in list(ctx.machines.values()):
             if not ctx.owns(m.id, m.zone):
                 del ctx.machines[m.id]
@@ -289,17 +374,18 @@
             # Counted from the roster's change: an owner that was cut off and comes
             # back has not heard what its stand-in heard, and must not give it up.
             quiet = ctx.now - max(m.heard, m.answered, ctx.token_since)
-            if quiet > lease * DRIFT + 0.5 and not m.lost:
+            if quiet > lease and not m.lost:
                 m.lost = True
-                ctx.tell = True
                 log.info("machine %s: silent for %.1f s", m.id, quiet)
             if m.lost:
                 self._expire(m)
-            else:
-                self._stop_now(m)
-            if quiet > 120.0 and not ctx.view.on_machine(m.id):
-                del ctx.machines[m.id]
-        self.place()
+            if ctx.now - m.heard > alive != m.quiet:
+                m.quiet = not m.quiet
+            if m.deaf and m.deaf_until <= ctx.now:
+                m.deaf, ctx.tell = False, True
+                log.info("machine %s keeps its lease again", m.id)
+            if quiet > FORGET_S and not ctx.view.on_machine(m.id):
+                self.depart(m.id)
 
     def _stop_now(self, m: Machine) -> None:
         """Tell a worker to stop a task without waiting for its report.
@@ -339,60 +425,90 @@
             return
         for job_id, entry in ctx.view.on_machine(m.id):
             if entry.stage != DEALT:
-                self._edit(
-                    job_id, jobs.gone(entry.index, m.id, entry.attempt), f"gone{entry.index}"
-                )
+                self._gone(job_id, entry, m)
 
     def place(self) -> None:
         """Find machines in our part for the tasks dealt to us."""
         ctx = self.ctx
+        dealt = ctx.view.dealt.get(ctx.me)
+        if not dealt:
+            self.dealt_since.clear()
+            return
+        for key in [k for k in self.dealt_since if k not in dealt]:
+            del self.dealt_since[key]
         mine = [
             (name, job, e)
-            for name, job in ctx.view.jobs.items()
-            if job.status == LIVE
-            for e in job.entries
-            if e.stage == DEALT and e.owner == ctx.me and (name, e.index) not in ctx.pending
+            for (name, _), e in dealt.items()
+            if (name, e.index) not in ctx.pending and (job := ctx.view.jobs[name]).status == LIVE
         ]
-        seen = {(name, e.index) for name, _, e in mine}
-        for key in [k for k in self.dealt_since if k not in seen]:
-            del self.dealt_since[key]
         if not mine:
             return
-        rooms = ctx.rooms(mine_only=True)
-        by_id = {room.id: room for room in rooms}
+        rooms: list[Room] | None = None
+        refused = Refused()
+        extra = self._under_way()
+        found: dict[JobId, list[jobs.Task]] = {}
         for name, job, entry in mine:
-            hint = by_id.get(entry.machine)
-            if hint is not None:
-                hint.give(job.spec)  # the hint's own share is what we look for
-            room = hint
-            if hint is None or choose(job.spec, [hint], zone=entry.zone) is None:
-                room = choose(job.spec, rooms, zone=entry.zone)
+            # The hint's own share is what we look for: its room counts as taken for us.
+            room = ctx.room(entry.machine)
+            if room is not None and self._fits(room, entry, extra.get(room.id, ())):
+                found.setdefault(name, []).append(
+                    jobs.Task(entry.index, 0, room.zone, room.id, room.session)
+                )
+                continue
+            if rooms is None:
+                rooms = ctx.rooms(mine_only=True)
+            room = None
+            if not refused.covers(job.spec, entry.zone):
+                room = Picker(job.spec, rooms, zone=entry.zone).take()
+                if room is None:
+                    refused.add(job.spec, entry.zone)
             if room is not None:
-                room.take(job.spec)
-                self.propose_place(name, job, entry.index, room.id, room.zone, room.session)
-            else:
-                if hint is not None:
-                    hint.take(job.spec)
-                since = self.dealt_since.setdefault((name, entry.index), ctx.now)
-                if ctx.now - since > 3.0:
-                    self._edit(
-                        name, jobs.undeal(entry.index, ctx.me), f"undeal{entry.index}", LATER
-                    )
-
-    def propose_place(
-        self, name: JobId, job: JobRecord, index: int, machine: str, zone: str, session: int
-    ) -> None:
+                extra.setdefault(room.id, []).append(job.spec)
+                found.setdefault(name, []).append(
+                    jobs.Task(entry.index, 0, room.zone, room.id, room.session)
+                )
+                continue
+            since = self.dealt_since.setdefault((name, entry.index), ctx.now)
+            if ctx.now - since > 3.0:
+                self._step(name, "undeal", entry, f"undeal{entry.index}", rank=LATER)
+        for name, tasks in found.items():
+            self.propose_place(name, ctx.view.jobs[name], tasks)
+
+    def _under_way(self) -> dict[str, list[Job]]:
+        """What is about to be placed where the records do not show it yet, by machine."""
+        ctx = self.ctx
+        found: dict[str, list[Job]] = {}
+        for (name, index), (machine, spec) in ctx.pending.items():
+            entry = ctx.view.entry(JobId(name), index)
+            if entry is None or entry.machine != machine:
+                found.setdefault(machine, []).append(spec)
+        return found
+
+    @staticmethod
+    def _fits(room: Room, entry: Entry, extra: Iterable[Job]) -> bool:
+        """Does the hint, whose room counts the task already, still hold?"""
+        for spec in extra:
+            room.take(spec)
+        return (
+            not (room.lent or room.draining)
+            and (not entry.zone or entry.zone == room.zone)
+            and min(room.cpus, room.gpus, room.memory) >= -SLACK
+        )
+
+    def propose_place(self, name: JobId, job: JobRecord, tasks: list[jobs.Task]) -> None:
+        """Write a job's new places, all at once; until then they count as taken."""
         ctx = self.ctx
-        key = (name, index)
-        ctx.pending[key] = (machine, job.spec)
+        for task in tasks:
+            ctx.pending[(name, task.number)] = (task.machine, job.spec)
 
         def settled(ok: bool, why: str) -> None:
-            ctx.pending.pop(key, None)
+            for task in tasks:
+                ctx.pending.pop((name, task.number), None)
+            where = ",".join(f"{t.number}:{t.machine}" for t in tasks)
             if ok:
-                log.info("place %s/%d on %s", name, index, machine)
+                log.info("place %s on %s", name, where)
             else:
-                log.debug("place %s/%d on %s: %s", name, index, machine, why)
+                log.debug("place %s on %s: %s", name, where, why)
 
-        change = jobs.place(index, ctx.me, zone, machine, session)
-        if not self._edit(name, change, f"place{index}", SOON, settled):
-            ctx.pending.pop(key, None)
+        step = jobs.Step("place", tuple(tasks), ctx.me)
+        self._write(name, step, "", SOON, settled)
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -1,17 +1,19 @@
 """Where a task may run, and which of those places is best."""
 
 from collections.abc import Collection, Iterable
+from heapq import heapify, heappop, heapreplace
 
 from coursefold.protocol.wire import Job, MachineType
+from coursefold.storage.view import EMPTY, Load
 
 SLACK = 1e-6
+ALONE = 15.0  # seconds of fetching that it is worth not to pin another empty machine
 
 
 class Room:
     """A machine as a place for tasks, with what is still free on it."""
 
     __slots__ = (
-        "batch",
         "cpus",
         "draining",
         "fetching",
@@ -30,17 +32,26 @@
     )
 
     def __init__(
-        self, id: str, kind: MachineType, zone: str, spot: bool, owner: str, session: int
+        self,
+        id: str,
+        kind: MachineType,
+        zone: str,
+        spot: bool,
+        owner: str,
+        session: int,
+        load: Load = EMPTY,
+        images: Collection[str] = frozenset(),
     ) -> None:
         self.id, self.kind, self.zone, self.spot = id, kind, zone, spot
         self.owner, self.session = owner, session
-        self.cpus, self.gpus, self.memory = kind.cpus, kind.gpus, kind.memory
-        self.images: frozenset[str] = frozenset()
-        self.fetching: dict[str, float] = {}
-        self.batch: list[Job] = []
+        self.cpus = kind.cpus - load.cpus
+        self.gpus = kind.gpus - load.gpus
+        self.memory = kind.memory - load.memory
+        self.images = images
+        self.fetching = load.images  # shared until something is taken
+        self.tasks = len(load.specs)
         self.lent = False
         self.draining = False
-        self.tasks = 0
         self.idle_since = 0.0
 
     def holds(self, spec: Job) -> bool:
@@ -56,17 +67,13 @@
         self.memory -= spec.memory
         self.tasks += 1
         if spec.image not in self.images:
-            self.fetching[spec.image] = spec.image_gb
-        if spec.shape != "standing":
-            self.batch.append(spec)
+            self.fetching = {**self.fetching, spec.image: spec.image_gb}
 
     def give(self, spec: Job) -> None:
         self.cpus += spec.cpus
         self.gpus += spec.gpus
         self.memory += spec.memory
         self.tasks -= 1
-        if spec in self.batch:
-            self.batch.remove(spec)
 
     @property
     def left(self) -> float:
@@ -114,7 +121,10 @@
     """Seconds until the image is there; images fetched together share the rate."""
     if spec.image in room.images or not room.kind.fetch:
         return 0.0
-    others = sum(gb for image, gb in room.fetching.items() if image != spec.image)
+    others = 0.0
+    for image, gb in room.fetching.items():
+        if image != spec.image and image not in room.images:
+            others += gb
     return (spec.image_gb + others) / room.kind.fetch
 
 
@@ -123,13 +133,16 @@
 
     Work that may run on spot machines leaves ordinary ones to work that may not;
     a task leaves a machine alone of which it would waste much for its price; a
-    replica, which stays, leaves large machines to what comes and goes; a tight
-    fit empties other machines, which can then be returned.
+    replica, which stays, leaves large machines to what comes and goes, and joins
+    others rather than take an empty machine from a gang that needs whole ones; a
+    tight fit empties other machines, which can then be returned.
     """
     part = share(spec, room.kind)
     wasteful = 40.0 if spec.spot and not room.spot else 0.0
     hourly = (room.kind.spot_price if room.spot else room.kind.price) * part
-    pinned = 40.0 * (1.0 - part) if spec.shape == "standing" else 0.0
+    pinned = 0.0
+    if spec.shape == "standing":
+        pinned = 40.0 * (1.0 - part) + (ALONE if room.tasks == 0 else 0.0)
     return (fetch_time(spec, room) + wasteful + 5.0 * hourly + pinned, room.left, room.id)
 
 
@@ -138,6 +151,68 @@
     return (spec.tasks + 1) // 2 if spec.apart else None
 
 
+class Picker:
+    """The best rooms for one job's tasks, one after the other.
+
+    The cost of a room changes only when something is taken from it, so all rooms
+    are weighed once, and then only the one that was picked.
+    """
+
+    def __init__(
+        self,
+        spec: Job,
+        rooms: Iterable[Room],
+        zones: dict[str, int] | None = None,
+        zone: str = "",
+        avoid: Collection[str] = (),
+    ) -> None:
+        self.spec = spec
+        self.zones = zones if zones is not None else {}
+        self.limit = zone_limit(spec)
+        builds, site, spot = spec.builds, spec.zone or zone, spec.spot
+        cpus, gpus, memory = spec.cpus - SLACK, spec.gpus - SLACK, spec.memory - SLACK
+        self.heap = [
+            ((room.id in avoid, *cost(spec, room)), room)
+            for room in rooms
+            if room.gpus >= gpus
+            and room.cpus >= cpus
+            and room.memory >= memory
+            and not (room.lent or room.draining)
+            and (spot or not room.spot)
+            and (builds is None or room.kind.name in builds)
+            and (not site or site == room.zone)
+            and (not zone or zone == room.zone)
+        ]
+        heapify(self.heap)
+
+    def best(self) -> Room | None:
+        """The best room now; `zones` counts the job's other tasks by zone."""
+        zones, spec = self.zones, self.spec
+        while self.heap:
+            room = self.heap[0][1]
+            if (zones and spec.together and room.zone not in zones) or (
+                self.limit is not None and zones.get(room.zone, 0) >= self.limit
+            ):
+                heappop(self.heap)  # for good: a zone's count only grows
+                continue
+            return room
+        return None
+
+    def take(self) -> Room | None:
+        """Take a task's share of the best room and count its zone."""
+        room = self.best()
+        if room is None:
+            return None
+        room.take(self.spec)
+        self.zones[room.zone] = self.zones.get(room.zone, 0) + 1
+        if room.holds(self.spec):
+            shunned = self.heap[0][0][0]
+            heapreplace(self.heap, ((shunned, *cost(self.spec, room)), room))
+        else:
+            heappop(self.heap)
+        return room
+
+
 def choose(
     spec: Job,
     rooms: Iterable[Room],
@@ -150,21 +225,26 @@
     `zones` counts the job's other tasks by zone; `avoid` names machines on which
     it failed, taken only where nothing else is left.
     """
-    limit = zone_limit(spec)
-    best: Room | None = None
-    shunned: Room | None = None
-    for room in rooms:
-        if room.lent or room.draining or not allowed(spec, room) or not room.holds(spec):
-            continue
-        if zone and room.zone != zone:
-            continue
-        if zones:
-            if spec.together and room.zone not in zones:
-                continue
-            if limit is not None and zones.get(room.zone, 0) >= limit:
-                continue
-        if room.id in avoid:
-            shunned = shunned or room
-        elif best is None or cost(spec, room) < cost(spec, best):
-            best = room
-    return best or shunned
+    return Picker(spec, rooms, zones, zone, avoid).best()
+
+
+class Refused:
+    """What found no room in this round: nothing that asks for as much needs to look again."""
+
+    def __init__(self) -> None:
+        self.seen: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
+
+    @staticmethod
+    def _kind(spec: Job, zone: str) -> tuple[object, ...]:
+        return (tuple(spec.builds) if spec.builds is not None else None, spec.zone, spec.spot, zone)
+
+    def add(self, spec: Job, zone: str = "") -> None:
+        found = self.seen.setdefault(self._kind(spec, zone), [])
+        found.append((spec.cpus, spec.gpus, spec.memory))
+
+    def covers(self, spec: Job, zone: str = "") -> bool:
+        """True if something no larger, with the same choice of machines, found nothing."""
+        return any(
+            cpus <= spec.cpus and gpus <= spec.gpus and memory <= spec.memory
+            for cpus, gpus, memory in self.seen.get(self._kind(spec, zone), ())
+        )
--- a/coursefold/coordination/preemption.py
+++ b/coursefold/coordination/preemption.py
@@ -18,6 +18,8 @@
 log = logging.getLogger(__name__)
 
 AGAIN_S = 12.0
+RETRY_S = 2.0  # after a look that found nothing: it walks the whole fleet
+LOOKS = 4  # in one round
 
 
 class Preemption:
@@ -26,6 +28,13 @@
     def __init__(self, ctx: Context) -> None:
         self.ctx = ctx
         self.plans: dict[tuple[str, int], float] = {}
+        self.looks = 0
+
+    def begin(self) -> None:
+        """A new round of dealing."""
+        self.looks = 0
+        for key in [k for k, until in self.plans.items() if until < self.ctx.now]:
+            del self.plans[key]
 
     def patience(self, spec: Job) -> float:
         """Replicas wait for nothing; other work gives machines a while to free up."""
@@ -49,9 +58,11 @@
         ctx = self.ctx
         if ctx.wall - job.at < self.patience(job.spec):
             return False
-        for key in [k for k, until in self.plans.items() if until < ctx.now]:
-            del self.plans[key]
-        return (name, index) not in self.plans
+        if self.looks >= LOOKS or (name, index) in self.plans:
+            return False
+        self.looks += 1
+        self.plans[(name, index)] = ctx.now + RETRY_S
+        return True
 
     def victims(
         self, room: Room, spec: Job, within: bool, quota: Quota | None
--- a/coursefold/coordination/quota.py
+++ b/coursefold/coordination/quota.py
@@ -4,11 +4,10 @@
 silent may still be running there.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from coursefold.protocol.wire import Job
 from coursefold.settings import Team
-from coursefold.storage.records import JobRecord
 
 SLACK = 1e-6
 
@@ -16,12 +15,12 @@
 class Quota:
     """Use by team at one moment; `take` keeps it true within one round of decisions."""
 
-    def __init__(self, teams: Iterable[Team], jobs: Iterable[JobRecord]) -> None:
+    def __init__(self, teams: Iterable[Team], usage: Mapping[str, list[float]]) -> None:
+        """`usage` is what the records' entries take by team; it is copied."""
         self.teams = {team.name: team for team in teams}
         self.used: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
-        for job in jobs:
-            if job.entries:
-                self.take(job.spec, len(job.entries))
+        for name, used in usage.items():
+            self.used[name] = list(used)
 
     def take(self, spec: Job, tasks: int) -> None:
         used = self.used.setdefault(spec.team, [0.0, 0.0])
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -1,94 +1,218 @@
 """What controllers tell each other, as protobuf.
 
-Summaries are hints: nothing that a rule depends on is decided by them alone,
-so a lost, late or forged one costs time and never safety.
+A summary is sent as what changed since the last one on the same connection, so
+it costs by what happens and not by the size of a part. Summaries are hints:
+nothing that a rule depends on is decided by them alone, so a lost, late or
+forged one costs time and never safety. Proposals are checked against the
+record they change (`forward`).
 """
 
 import logging
+from typing import NamedTuple
 
 from google.protobuf.message import DecodeError
 
 from coursefold.coordination.context import Context, PeerMachine, PeerView
 from coursefold.protocol import peer_pb2
-from coursefold.protocol.ids import JobId
+from coursefold.protocol.ids import JobId, Moment
 
 log = logging.getLogger(__name__)
 
-VERSION = 1
+VERSION = 2
+REASONS = 500
+SUMMARY_S = 0.6
+ROWS_S = 0.05
+LATE_S = 3.0
+FINISHED = 400
 
 
-REASONS = 200
+class Row(NamedTuple):
+    """One machine of our part as siblings see it; equal as long as nothing of note changes."""
 
+    build: str
+    zone: str
+    spot: bool
+    session: int
+    quiet_since: float | None
+    draining: bool
+    sick: bool
+    lent: bool
+    idle_since: float | None
+    lost: bool
+    deaf: bool
+    images: tuple[str, ...]
 
-def build(ctx: Context, wanted: set[str], complaints: set[str], reasons: dict[JobId, str]) -> bytes:
-    """This node's summary for its siblings."""
-    out = peer_pb2.Envelope(version=VERSION, sender=ctx.me, sent_at=ctx.wall)
-    body = out.summary
-    body.token = ctx.view.token if ctx.active() else 0
-    body.permit = ctx.permit
-    body.state_age_s = max(0.0, ctx.now - ctx.state_ok_at)
-    body.wanted.extend(sorted(wanted))
-    body.complaints.extend(sorted(complaints))
-    if ctx.active():
+
+class Rows:
+    """The rows of our part, made once for all siblings."""
+
+    def __init__(self, ctx: Context) -> None:
+        self.ctx = ctx
+        self.at = -1e9
+        self.rows: dict[str, Row] = {}
+
+    def get(self) -> dict[str, Row]:
+        ctx = self.ctx
+        if ctx.now - self.at < ROWS_S:
+            return self.rows
+        self.at = ctx.now
+        self.rows = {}
+        if not ctx.active():
+            return self.rows
         for m in ctx.machines.values():
-            if not ctx.owns(m.id, m.zone):
-                continue
-            idle = not m.tasks and not ctx.view.on_machine(m.id)
-            body.machines.add(
-                id=m.id,
-                build=m.build,
-                zone=m.zone,
-                spot=m.spot,
-                session=m.session,
-                silent_s=max(0.0, ctx.now - m.heard),
-                draining=m.recall_at is not None,
-                sick=m.sick,
-                lost=m.lost,
-                lent=m.lent_until > ctx.now,
-                images=list(m.images),
-                idle=idle,
-                idle_s=max(0.0, ctx.now - m.idle_since) if idle else 0.0,
-            )
-    if ctx.leading():
-        body.reasons.update(dict(list(reasons.items())[:REASONS]))
-    else:
-        for lane, seconds in ctx.finished[:100]:
-            body.finished.add(lane=lane, seconds=seconds, tasks=1)
-        ctx.finished.clear()
-    return out.SerializeToString()
-
-
-def take(ctx: Context, frame: bytes) -> None:
-    """A sibling's frame; what is not readable, or not a sibling's, changes nothing."""
+            # One that has not shown our token may be a late copy of an old report.
+            if m.proven and ctx.owns(m.id, m.zone):
+                idle = not m.tasks and not ctx.view.occupies(m.id)
+                self.rows[m.id] = Row(
+                    m.build, m.zone, m.spot, m.session, m.heard if m.quiet else None,
+                    m.recall_at is not None, m.sick, m.lent_until > ctx.now,
+                    m.idle_since if idle else None, m.lost, m.deaf, tuple(m.images),
+                )  # fmt: skip
+        return self.rows
+
+
+class Teller:
+    """Makes the frames for one sibling."""
+
+    def __init__(self, ctx: Context, rows: Rows, member: str) -> None:
+        self.ctx, self.rows, self.member = ctx, rows, member
+        self.urgent = True
+        self.proposals: list[peer_pb2.Proposal] = []
+        self.outcomes: list[peer_pb2.Outcome] = []
+        self.begin()
+
+    def begin(self) -> None:
+        """A new connection: the sibling may have nothing yet."""
+        self.link = float(self.ctx.wall)
+        self.seq = 0
+        self.full = True
+        self.told_at = -1e9
+        self.sent: dict[str, Row] = {}
+        self.said: dict[str, str] = {}
+
+    def waits(self) -> bool:
+        return bool(self.urgent or self.proposals or self.outcomes)
+
+    def frame(self, wanted: set[str], complaints: set[str], reasons: dict[JobId, str]) -> bytes:
+        """The next frame; empty if there is nothing to say."""
+        ctx = self.ctx
+        due = self.full or self.urgent or ctx.now - self.told_at >= SUMMARY_S
+        if not (due or self.proposals or self.outcomes):
+            return b""
+        self.seq += 1
+        out = peer_pb2.Envelope(
+            version=VERSION, sender=ctx.me, sent_at=ctx.wall, link=self.link, seq=self.seq
+        )
+        out.proposals.extend(self.proposals)
+        out.outcomes.extend(self.outcomes)
+        self.proposals, self.outcomes = [], []
+        if due:
+            self.urgent = False
+            self.told_at = ctx.now
+            self._summary(out.summary, wanted, complaints, reasons)
+        return out.SerializeToString()
+
+    def _summary(
+        self,
+        body: peer_pb2.Summary,
+        wanted: set[str],
+        complaints: set[str],
+        reasons: dict[JobId, str],
+    ) -> None:
+        ctx = self.ctx
+        body.token = ctx.view.token if ctx.active() else 0
+        body.permit = ctx.permit
+        body.state_age_s = max(0.0, ctx.now - ctx.state_ok_at)
+        body.wanted.extend(sorted(wanted))
+        body.complaints.extend(sorted(complaints))
+        body.full, self.full = self.full, False
+        rows = self.rows.get()
+        for id, row in rows.items():
+            if self.sent.get(id) != row:
+                body.machines.add(
+                    id=id, build=row.build, zone=row.zone, spot=row.spot, session=row.session,
+                    quiet=row.quiet_since is not None,
+                    silent_s=max(0.0, ctx.now - (row.quiet_since or ctx.now)),
+                    draining=row.draining, sick=row.sick, lost=row.lost, deaf=row.deaf,
+                    lent=row.lent, images=row.images, idle=row.idle_since is not None,
+                    idle_s=max(0.0, ctx.now - (row.idle_since or ctx.now)),
+                )  # fmt: skip
+        body.dropped.extend(id for id in self.sent if id not in rows)
+        self.sent = rows
+        if ctx.leading():
+            said: dict[str, str] = dict(list(reasons.items())[:REASONS])
+            for name, why in said.items():
+                if self.said.get(name) != why:
+                    body.reasons[name] = why
+            for name in self.said:
+                if name not in said:
+                    body.reasons[name] = ""
+            self.said = said
+        elif ctx.roster is not None and ctx.roster.leader == self.member:
+            for lane, seconds in ctx.finished[:FINISHED]:
+                body.finished.add(lane=lane, seconds=seconds, tasks=1)
+            ctx.finished.clear()
+
+
+def read(ctx: Context, frame: bytes) -> peer_pb2.Envelope | None:
+    """A sibling's frame, if it is readable, a sibling's, and the next one of its connection."""
     try:
         envelope = peer_pb2.Envelope.FromString(frame)
     except DecodeError:
         log.error("peer frame of %d bytes is not readable", len(frame))
-        return
+        return None
     if envelope.version != VERSION:
         log.error("peer frame of version %d dropped", envelope.version)
-        return
+        return None
     if envelope.sender not in {s.member for s in ctx.settings.siblings}:
         log.error("peer frame of unknown member %r dropped", envelope.sender[:40])
-        return
+        return None
     skew = ctx.settings.params.skew_ms / 1000.0
-    if abs(ctx.wall - envelope.sent_at) > 1.5 + 2 * skew:
+    if abs(ctx.wall - envelope.sent_at) > LATE_S + 2 * skew:
         log.debug("peer frame of %s is %.1f s old", envelope.sender, ctx.wall - envelope.sent_at)
+        return None
+    known = ctx.peers.get(envelope.sender)
+    if known is None or envelope.link > known.link:
+        if not (envelope.HasField("summary") and envelope.summary.full):
+            return None
+    elif envelope.link < known.link or envelope.seq != known.seq + 1:
+        # A held or repeated frame, or one after a gap: what is newer stands.
+        log.debug("peer frame %d of %s out of order", envelope.seq, envelope.sender)
+        return None
+    return envelope
+
+
+def take(ctx: Context, envelope: peer_pb2.Envelope) -> None:
+    """Note what a sibling's frame says."""
+    view = ctx.peers.get(envelope.sender)
+    if view is None or envelope.link > view.link:
+        view = ctx.peers[envelope.sender] = PeerView(envelope.sender, envelope.link)
+    view.seq = envelope.seq
+    view.at = ctx.now
+    if not envelope.HasField("summary"):
         return
     body = envelope.summary
-    view = PeerView(envelope.sender, body.token, body.permit, body.state_age_s, ctx.now)
+    view.token, view.permit = body.token, body.permit
+    view.state_age = body.state_age_s + max(0.0, ctx.wall - envelope.sent_at)
     for item in body.machines:
         machine = PeerMachine(
-            item.id, item.build, item.zone, item.spot, item.session, item.silent_s
+            item.id, item.build, item.zone, item.spot, item.session, ctx.now - item.silent_s
         )
         machine.draining, machine.sick, machine.lost = item.draining, item.sick, item.lost
-        machine.lent, machine.idle, machine.idle_s = item.lent, item.idle, item.idle_s
+        machine.quiet, machine.deaf = item.quiet, item.deaf
+        machine.lent, machine.idle = item.lent, item.idle
+        machine.idle_since = ctx.now - item.idle_s
         machine.images = frozenset(item.images)
         view.machines[item.id] = machine
+    for id in body.dropped:
+        view.machines.pop(id, None)
     view.wanted = frozenset(body.wanted)
     view.complaints = frozenset(body.complaints)
-    view.reasons = dict(body.reasons)
-    ctx.peers[envelope.sender] = view
+    for name, why in body.reasons.items():
+        if why:
+            view.reasons[name] = why
+        else:
+            view.reasons.pop(name, None)
     for done in body.finished:
         ctx.finished.append((done.lane, done.seconds))
     roster = ctx.view.roster
@@ -98,12 +222,13 @@
 
 def lend(ctx: Context, wanted: frozenset[str]) -> None:
     """Keep empty machines of our part free while the leader wants them."""
+    if not wanted:
+        return
+    planned = {machine for machine, _ in ctx.pending.values()}
     for name in wanted:
         m = ctx.machines.get(name)
-        if m is None or not ctx.owns(m.id, m.zone) or ctx.view.on_machine(name):
-            continue
-        if any(machine == name for machine, _ in ctx.pending.values()):
+        if m is None or not ctx.owns(m.id, m.zone) or ctx.view.occupies(name) or name in planned:
             continue
         if m.lent_until <= ctx.now:
             ctx.tell = True
-        m.lent_until = ctx.now + 4.0
+        m.lent_until = Moment(ctx.now + 4.0)
--- a/coursefold/protocol/wire.py
+++ b/coursefold/protocol/wire.py
@@ -192,11 +192,24 @@
         raise Malformed(str(wrong)) from None
 
 
-def _finite(message: Struct) -> None:
-    for info in msgspec.structs.fields(message):
-        value = getattr(message, info.name)
+def _floats(shape: type[Struct]) -> list[tuple[str, str]]:
+    """The names of a message's amounts, here and on the wire."""
+    return [
+        (info.name, info.encode_name)
+        for info in msgspec.structs.fields(shape)
+        if "float" in str(info.type)
+    ]
+
+
+JOB_FLOATS = _floats(Job)
+REPORT_FLOATS = _floats(Report)
+
+
+def _finite(message: Struct, names: list[tuple[str, str]]) -> None:
+    for name, wire_name in names:
+        value = getattr(message, name)
         if isinstance(value, float) and not math.isfinite(value):
-            raise Malformed(f"not a finite number - at `$.{info.encode_name}`")
+            raise Malformed(f"not a finite number - at `$.{wire_name}`")
 
 
 def decode_job(body: bytes) -> Job:
@@ -204,7 +217,7 @@
     if len(body) > BODY_LIMIT:
         raise Malformed("body over 64 KiB")
     job = decode(body, Job)
-    _finite(job)
+    _finite(job, JOB_FLOATS)
     if not is_job_id(job.name):
         raise Malformed("not a job id - at `$.NameId`")
     return job
@@ -215,5 +228,5 @@
     if len(body) > BODY_LIMIT:
         raise Malformed("body over 64 KiB")
     report = decode(body, Report)
-    _finite(report)
+    _finite(report, REPORT_FLOATS)
     return report
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -9,14 +9,14 @@
 import msgspec
 
 from coursefold.coordination.core import Core
-from coursefold.coordination.effects import Answer, CloudCall, Direct, Read, Tell
+from coursefold.coordination.effects import Answer, CloudCall, Direct, Read, Tell, Vouch
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, Moment, WallTime
-from coursefold.protocol.wire import DirectOrders, KeyRow, encode
+from coursefold.protocol.wire import DirectOrders, KeyRow, News, encode
 from coursefold.settings import Settings
 from coursefold.storage import records
 from coursefold.storage.queue import Batch
-from coursefold.storage.records import Ending, JobRecord, ending_key, job_key
+from coursefold.storage.records import Ending, ending_key
 from coursefold.transport.http_client import HttpClient, NoAnswer
 from coursefold.transport.peers import PeerLink, PeerServer
 from coursefold.transport.server import Server
@@ -25,7 +25,11 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.25
+GATHER_S = 0.06
+IDLE_PARTS = 3.0
 FOLLOW_MS = 3000
+FOLLOW_COST = 4.0
+VOUCH_COST = 5.0
 PEER_S = 0.7
 COMMITS = 3
 
@@ -41,13 +45,21 @@
         self.settings = settings
         self.core = Core(settings, policy)
         params = settings.params
-        self.state = StateClient(settings.services.state, params.state.rps, now, self._state_heard)
+        nodes = len(settings.siblings) + 1
+        self.state = StateClient(
+            settings.services.state, params.state.rps, nodes, now, self._state_heard
+        )
+        # All nodes follow, and all count against one rate: each about a sixth of its part.
+        self.follow_pause = nodes * FOLLOW_COST / params.state.rps
+        self.vouch_pause = nodes * VOUCH_COST / params.state.rps
         self.cloud = HttpClient(settings.services.cloud, connections=4)
         self.server = Server(settings.listen, self._request)
         self.peer_server = PeerServer(settings.peer_listen, self._peer)
-        self.links = [
-            PeerLink(s.member, s.peer_addr, self._summary, PEER_S) for s in settings.siblings
-        ]
+        self.links = {
+            s.member: PeerLink(s.member, s.peer_addr, self._linked, self._frame, PEER_S)
+            for s in settings.siblings
+        }
+        self.asked = asyncio.Event()
         self.life_ms = int(min(2500.0, params.workers.lease_s * 250.0))
         self.wake = asyncio.Event()
         self.dirty = asyncio.Event()
@@ -67,9 +79,9 @@
 
     async def run(self) -> None:
         """Until killed."""
-        for link in self.links:
+        for link in self.links.values():
             self._spawn(link.run())
-        for loop in (self._lease, self._follow, self._commits, self._ticks):
+        for loop in (self._lease, self._follow, self._vouch, self._commits, self._ticks):
             self._spawn(self._forever(loop))
         await asyncio.Event().wait()
 
@@ -93,6 +105,8 @@
         for effect in self.core.drain():
             if isinstance(effect, Answer):
                 self.server.answer(effect.ticket, effect.status, effect.body, effect.retry_after)
+            elif isinstance(effect, Vouch):
+                self.asked.set()
             elif isinstance(effect, Read):
                 self._spawn(self._read(effect.ticket, JobId(effect.job)))
             elif isinstance(effect, CloudCall):
@@ -100,29 +114,36 @@
             elif isinstance(effect, Direct):
                 self._spawn(self._direct(effect))
             elif isinstance(effect, Tell):
-                for link in self.links:
-                    link.wake.set()
-        if self.core.queue.waiting:
+                for member in effect.members:
+                    self.links[member].wake.set()
+        if self.core.queue.fresh:
+            self.core.queue.fresh = False
             self.wake.set()
 
     def _changed(self) -> None:
         self.dirty.set()
 
     async def _ticks(self) -> None:
+        """Let the core decide: soon after a change, but never more than a part of the time."""
+        cost = 0.0
         while True:
+            # What comes meanwhile is decided on together. A round that takes long is
+            # followed by a longer pause, so that reports are answered in between.
+            await asyncio.sleep(max(GATHER_S, cost * IDLE_PARTS))
             try:
                 async with asyncio.timeout(TICK_S):
                     await self.dirty.wait()
-                await asyncio.sleep(0.015)
             except TimeoutError:
                 pass
             self.dirty.clear()
+            began = time.process_time()
             core = self._enter()
             core.tick()
             for ticket in self.server.overdue():
                 core.forget_ticket(ticket)
                 self.server.answer(ticket, 503, {"error": "busy"}, 1)
             self._flush()
+            cost = min(1.0, time.process_time() - began)
 
     # HTTP
 
@@ -146,10 +167,7 @@
         elif path.startswith("/work/"):
             job, slash, verb = path.removeprefix("/work/").partition("/")
             if method == "GET" and not slash:
-                if self.state.room():
-                    core.poll(job, ticket)
-                else:
-                    self.server.answer(ticket, 503, {"error": "too many requests"}, 2)
+                core.poll(job, ticket)
             elif method == "POST" and verb == "cancel":
                 core.cancel(job, ticket)
             else:
@@ -159,13 +177,17 @@
 
     # Peers
 
-    def _summary(self) -> bytes:
-        return self._enter().summary()
+    def _linked(self, member: str) -> None:
+        self._enter().linked(member)
+
+    def _frame(self, member: str) -> bytes:
+        return self._enter().frame(member)
 
-    def _peer(self, frame: bytes) -> None:
-        self._enter().peer(frame)
+    def _peer(self, frame: bytes) -> bool:
+        good = self._enter().peer(frame)
         self._flush()
         self._changed()
+        return good
 
     # Cloud
 
@@ -252,40 +274,71 @@
                     self._changed()
                     continue
                 news = await self.state.follow(records.ROOT, since, FOLLOW_MS)
-                self._enter()
                 if news is None:
                     since = -1
                     continue
-                for item in news.news:
-                    if item.set is not None:
-                        view.put(item.set, item.value, item.stamp)
-                    elif item.remove is not None:
-                        view.drop(item.remove, item.stamp)
-                since = max(since, news.ledger)
-                view.ledger = max(view.ledger, since)
-                ctx.follow_ok_at = max(ctx.follow_ok_at, sent)
+                since = max(since, self._news(news, sent))
                 if news.news:
-                    self._changed()
-                    await asyncio.sleep(0.03)
+                    await asyncio.sleep(self.follow_pause)
             except Unavailable as wrong:
                 log.debug("follow: %s", wrong)
                 await asyncio.sleep(jitter(0.3))
 
+    def _news(self, news: News, sent: Moment) -> int:
+        """Take changes; the view is then as new as `sent`."""
+        view, ctx = self.core.view, self.core.ctx
+        self._enter()
+        for item in news.news:
+            if item.set is not None:
+                view.put(item.set, item.value, item.stamp)
+            elif item.remove is not None:
+                view.drop(item.remove, item.stamp)
+        view.ledger = max(view.ledger, news.ledger)
+        ctx.follow_ok_at = max(ctx.follow_ok_at, sent)
+        if news.news:
+            self._changed()
+        return news.ledger
+
+    async def _vouch(self) -> None:
+        """Bring the view up to date for the questions that wait, all at once."""
+        core = self.core
+        while True:
+            await self.asked.wait()
+            await asyncio.sleep(self.vouch_pause)
+            self.asked.clear()
+            tickets, core.questions = core.questions, []
+            sent = now()
+            try:
+                news = await self._up_to_now()
+            except Unavailable as wrong:
+                log.debug("vouch: %s", wrong)
+                self._enter()
+                for ticket in tickets:
+                    core.read_failed(ticket)
+            else:
+                self._news(news, sent)
+                core.vouched(tickets)
+            self._flush()
+
+    async def _up_to_now(self) -> News:
+        """All changes that the view does not show yet; tried again when over the rate."""
+        for attempt in range(4):
+            try:
+                news = await self.state.follow(records.ROOT, self.core.view.ledger, 0)
+                if news is not None:
+                    return news
+                raise Unavailable("the view is too old", 0)
+            except Unavailable as wrong:
+                if wrong.status != 429 or attempt == 3:
+                    raise
+            await asyncio.sleep(jitter(0.15))
+        raise AssertionError("not reached")
+
     async def _load(self) -> tuple[list[KeyRow], int]:
         """All live keys; endings stay out of memory."""
-        found: list[KeyRow] = []
-        first = 0
-        for prefix in (
-            records.ROSTER,
-            records.CATALOG,
-            records.MEMBERS,
-            records.POOLS,
-            records.JOBS,
-        ):
-            rows, ledger = await self.state.rows(prefix)
-            first = first or ledger
-            found.extend(rows)
-        return found, first
+        found, first = await self.state.rows(records.CATALOG)
+        rows, _ = await self.state.rows(records.ROOT, after=records.ENDINGS + "~")
+        return found + rows, first
 
     async def _commits(self) -> None:
         """Send transactions, a few at a time; read again what is uncertain."""
@@ -309,14 +362,7 @@
                     break
                 self.flying += 1
                 self._spawn(self._send(batch))
-            self._flush_quietly()
-
-    def _flush_quietly(self) -> None:
-        waiting = bool(self.wake.is_set())
-        self._flush()
-        if not waiting:
-            # Nothing new came in: what still waits is looked at in a moment, not at once.
-            self.wake.clear()
+            self._flush()
 
     async def _send(self, batch: Batch) -> None:
         queue = self.core.queue
@@ -373,20 +419,15 @@
         return True
 
     async def _read(self, ticket: int, job: JobId) -> None:
-        """A job's newest state: its record first, then its ending (it moves that way only)."""
-        found: JobRecord | Ending | None = None
+        """The final state of a job that is not, or no longer, among the live ones."""
+        found: Ending | None = None
         try:
-            row = await self.state.get(job_key(job))
+            if not self.state.room():
+                raise Unavailable("over our part of the rate", 429)
+            row = await self.state.get(ending_key(job))
             if row is not None:
-                record = records.parse(row.key, row.value)
-                found = record if isinstance(record, JobRecord) else None
-                self._enter()
-                self.core.view.put(row.key, row.value, row.stamp)
-            else:
-                row = await self.state.get(ending_key(job))
-                if row is not None:
-                    ending = records.parse(row.key, row.value)
-                    found = ending if isinstance(ending, Ending) else None
+                ending = records.parse(row.key, row.value)
+                found = ending if isinstance(ending, Ending) else None
         except (Unavailable, msgspec.ValidationError) as wrong:
             log.debug("read %s: %s", job, wrong)
             self._enter().read_failed(ticket)
--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -32,7 +32,7 @@
 
 
 class End(NamedTuple):
-    """An edit's result: the job is over, its record becomes a final one."""
+    """An edit's result: an ended job's final record moves to where it stays for good."""
 
     ending: records.Ending
 
@@ -108,17 +108,48 @@
         self.waiting: dict[str, list[Edit]] = {}
         self.flying: set[str] = set()
         self.stale: set[str] = set()
+        self.write_rps = write_rps
+        # The service counts all nodes' changes together. Leases, accepts and cancellations
+        # have a budget of their own, so that no backlog of other work delays them.
+        self.first = Budget(write_rps * 0.5, max(2.0, write_rps * 0.5))
         self.budget = Budget(write_rps * 0.8, max(2.0, write_rps * 0.6))
         self.pause_until = Moment(0.0)
         self.tags: set[tuple[str, str]] = set()
+        self.fresh = False  # something was proposed since the last look
 
-    def propose(self, edit: Edit) -> bool:
-        """Queue an edit; False if one with the same tag waits already."""
+    def share(self, leading: bool, nodes: int) -> None:
+        """Our part of the rate: the leader writes for all, others little but accepts."""
+        others = min(0.12, 0.3 / max(1, nodes - 1))
+        part = 0.85 - others * (nodes - 1) if leading else others
+        self.budget.rate = self.write_rps * part
+        self.budget.burst = max(3.0, self.write_rps * part * 0.6)
+
+    def idle(self, now: Moment) -> bool:
+        """True if there is room for what is never urgent."""
+        return not self.waiting and self.budget.fill(now) >= 0.95 * self.budget.burst
+
+    def claim(self, edit: Edit) -> bool:
+        """Reserve an edit's tag while it is under way elsewhere."""
         if edit.tag:
             if (edit.key, edit.tag) in self.tags:
                 return False
             self.tags.add((edit.key, edit.tag))
+        return True
+
+    def release(self, edit: Edit) -> None:
+        """It is not under way elsewhere any more."""
+        self.tags.discard((edit.key, edit.tag))
+
+    def settle(self, edit: Edit, ok: bool, why: str) -> None:
+        """What became of a claimed edit elsewhere."""
+        self._settle(edit, ok, why)
+
+    def propose(self, edit: Edit) -> bool:
+        """Queue an edit; False if one with the same tag waits already."""
+        if not self.claim(edit):
+            return False
         self.waiting.setdefault(edit.key, []).append(edit)
+        self.fresh = True
         return True
 
     def busy(self, key: str) -> bool:
@@ -137,7 +168,9 @@
     def refreshed(self, key: str) -> None:
         self.stale.discard(key)
 
-    def _build(self, key: str, edits: list[Edit]) -> tuple[list[Edit], Result | None]:
+    def _build(
+        self, key: str, edits: list[Edit], one_by_one: bool = False
+    ) -> tuple[list[Edit], Result | None]:
         """Apply a key's edits to its record; those that do not apply are settled.
 
         An edit that fails only because of another in the same transaction waits
@@ -150,7 +183,7 @@
         deferred: list[Edit] = []
         result: Result | None = None
         for edit in edits:
-            if isinstance(result, (End, Remove)):
+            if isinstance(result, (End, Remove, records.Ending)):
                 deferred.append(edit)
                 continue
             if edit.fence is not None and edit.fence != self.view.token:
@@ -164,19 +197,26 @@
                 else:
                     self._settle(edit, False, str(void) or "void")
                 continue
-            if isinstance(outcome, JobRecord):
-                value = records.dump(outcome)
-                if records.size(value) > self.value_limit:
-                    self._settle(edit, False, "too large")
-                    continue
+            if one_by_one and self._too_large(outcome):
+                self._settle(edit, False, "too large")
+                continue
             result = outcome
             if isinstance(outcome, Struct):
                 current = outcome
             kept.append(edit)
+        if not one_by_one and self._too_large(result):
+            # Rare: find out which edits fit. Measuring after each one costs too much.
+            return self._build(key, [*kept, *deferred], one_by_one=True)
         if deferred:
             self.waiting[key] = deferred
         return kept, result
 
+    def _too_large(self, result: Result | None) -> bool:
+        """True if the value would exceed the service's limit."""
+        if not isinstance(result, (JobRecord, records.PoolRecord)):
+            return False
+        return records.size(records.dump(result)) > self.value_limit
+
     def next_batch(self, now: Moment) -> Batch | None:
         """The next transaction, or None if nothing can go now."""
         if now < self.pause_until or not self.waiting:
@@ -184,8 +224,10 @@
         ready = [k for k in self.waiting if k not in self.flying and k not in self.stale]
         if not ready:
             return None
-        ready.sort(key=lambda k: min(e.rank for e in self.waiting[k]))
-        room = min(self.txn_ops, int(self.budget.fill(now)))
+        ranks = {k: min(e.rank for e in self.waiting[k]) for k in ready}
+        ready.sort(key=ranks.__getitem__)
+        bulk = int(self.budget.fill(now))
+        urgent = max(bulk, int(self.first.fill(now)))
         fence: int | None = None
         guards: dict[str, int] = {}
         then: list[dict[str, Any]] = []
@@ -193,7 +235,8 @@
         taken: list[Edit] = []
         weight = 0
         for key in ready:
-            if len(then) + 2 > room:
+            room = urgent if ranks[key] == FIRST else bulk
+            if len(then) + 2 > min(self.txn_ops, room):
                 break
             edits = self.waiting[key]
             fences = {e.fence for e in edits if e.fence is not None and e.fence == self.view.token}
@@ -222,7 +265,9 @@
             return None
         if fence is not None:
             guards[records.ROSTER] = fence
-        self.budget.take(now, len(then))
+        first = sum(1 for key in results if ranks[key] == FIRST)
+        self.first.take(now, min(first, self.first.level))
+        self.budget.take(now, len(then) - min(first, len(then)))
         self.flying.update(results)
         body = {"Guards": [{"K": k, "Stamp": s} for k, s in guards.items()], "Then": then}
         return Batch(body, results, taken, len(then))
@@ -248,6 +293,8 @@
             self.flying.discard(key)
             if isinstance(result, (Remove, End)):
                 self.view.drop(key, ledger)
+                if isinstance(result, End):
+                    self.view.remember(key, result.ending)
             elif ledger > self.view.stamp(key):
                 self.view.keep(key, result, ledger)
         for edit in batch.edits:
--- a/coursefold/storage/records.py
+++ b/coursefold/storage/records.py
@@ -222,6 +222,8 @@
         return msgspec.convert(value, Catalog)
     for prefix, shape in SHAPES.items():
         if key.startswith(prefix):
+            if prefix == JOBS and isinstance(value, list) and len(value) == 2:
+                return msgspec.convert(value, Ending)  # ended, not yet moved
             record = msgspec.convert(value, shape)
             if isinstance(record, _Job):
                 rest = (getattr(record, name) for name in _Job.__struct_fields__[1:])
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -11,12 +11,21 @@
 from msgspec import Struct
 
 from coursefold.protocol.ids import JobId, Stamp
-from coursefold.protocol.wire import Catalog
+from coursefold.protocol.wire import Catalog, Job
 from coursefold.storage import records
-from coursefold.storage.records import Entry, JobRecord, MemberRecord, PoolRecord, Roster
+from coursefold.storage.records import (
+    Ending,
+    Entry,
+    JobRecord,
+    MemberRecord,
+    PoolRecord,
+    Roster,
+)
 
 log = logging.getLogger(__name__)
 
+ENDINGS = 20_000  # final states kept in memory; older ones are read when asked for
+
 
 class Held(NamedTuple):
     """A record and the revision of its last change."""
@@ -25,6 +34,22 @@
     stamp: Stamp
 
 
+class Load:
+    """What the entries on one machine take together."""
+
+    __slots__ = ("cpus", "gpus", "images", "memory", "specs")
+
+    def __init__(self, specs: list[Job]) -> None:
+        self.specs = specs
+        self.cpus = sum(s.cpus for s in specs)
+        self.gpus = sum(s.gpus for s in specs)
+        self.memory = sum(s.memory for s in specs)
+        self.images = {s.image: s.image_gb for s in specs}
+
+
+EMPTY = Load([])
+
+
 class View:
     """Records by key, with indices for jobs, members and pools."""
 
@@ -34,26 +59,22 @@
         self.members: dict[str, MemberRecord] = {}
         self.pools: dict[str, PoolRecord] = {}
         self.gone: dict[str, int] = {}
+        self.endings: dict[JobId, Ending] = {}
+        self.unswept: dict[JobId, None] = {}
         self.loaded = False
         self.ledger = 0
-        self.version = 0
-        self._index: dict[str, list[tuple[JobId, Entry]]] = {}
-        self._indexed = -1
-
-    @property
-    def roster(self) -> Roster | None:
-        held = self.held.get(records.ROSTER)
-        return held.record if held and isinstance(held.record, Roster) else None
-
-    @property
-    def token(self) -> int:
-        held = self.held.get(records.ROSTER)
-        return held.stamp if held else 0
-
-    @property
-    def catalog(self) -> Catalog | None:
-        held = self.held.get(records.CATALOG)
-        return held.record if held and isinstance(held.record, Catalog) else None
+        self.roster: Roster | None = None
+        self.token = 0  # the roster's Stamp
+        self.catalog: Catalog | None = None
+        # Indices, kept up to date by the difference of each change: at hundreds of
+        # machines, building them anew cost more than all decisions together.
+        self.waiting: dict[JobId, JobRecord] = {}
+        self.dealt: dict[str, dict[tuple[JobId, int], Entry]] = {}
+        self.usage: dict[str, list[float]] = {}
+        self.moved: dict[str, None] = {}  # machines, in order
+        self._places: dict[str, dict[tuple[JobId, int], Entry]] = {}
+        self._loads: dict[str, Load] = {}
+        self._entries: dict[tuple[JobId, int], Entry] = {}
 
     def stamp(self, key: str) -> int:
         held = self.held.get(key)
@@ -62,7 +83,7 @@
     def put(self, key: str, value: Any, stamp: int) -> bool:
         """Take a key's value; False if it was known or is overtaken."""
         if key.startswith(records.ENDINGS):
-            return False
+            return self._put_ending(key, value)
         if stamp <= self.stamp(key) or stamp <= self.gone.get(key, 0):
             return False
         try:
@@ -75,17 +96,100 @@
         self.keep(key, record, stamp)
         return True
 
+    def _put_ending(self, key: str, value: Any) -> bool:
+        try:
+            record = records.parse(key, value)
+        except (msgspec.ValidationError, TypeError) as wrong:
+            log.error("record %s is not readable: %s", key, wrong)
+            return False
+        if isinstance(record, Ending):
+            self.remember(key, record)
+        return True
+
+    def remember(self, key: str, ending: Ending) -> None:
+        """Keep a job's final state, which never changes, in bounded memory."""
+        name = JobId(key.rpartition("/")[2])
+        self.endings.pop(name, None)
+        self.endings[name] = ending
+        while len(self.endings) > ENDINGS:
+            del self.endings[next(iter(self.endings))]
+
     def keep(self, key: str, record: Struct, stamp: int) -> None:
         """Take a record that is known to be the newest."""
-        self.version += 1
         self.held[key] = Held(record, Stamp(stamp))
+        if isinstance(record, Roster):
+            self.roster, self.token = record, stamp
+        elif isinstance(record, Catalog):
+            self.catalog = record
         if isinstance(record, JobRecord):
-            self.jobs[JobId(key.removeprefix(records.JOBS))] = record
+            name = JobId(key.removeprefix(records.JOBS))
+            before = self.jobs.get(name)
+            self.jobs[name] = record
+            self._index(name, before, record)
+        elif isinstance(record, Ending):
+            name = JobId(key.removeprefix(records.JOBS))
+            self._index(name, self.jobs.get(name), None)
+            self.jobs.pop(name, None)
+            self.unswept[name] = None
+            self.remember(key, record)
         elif isinstance(record, MemberRecord):
             self.members[record.name] = record
         elif isinstance(record, PoolRecord):
             self.pools[key.removeprefix(records.POOLS)] = record
 
+    def _index(self, name: JobId, before: JobRecord | None, after: JobRecord | None) -> None:
+        """Bring the indices from one state of a job to the next."""
+        old = before.entries if before else []
+        new = after.entries if after else []
+        if after is not None and after.status == records.LIVE and after.waiting_count > 0:
+            self.waiting[name] = after
+        else:
+            self.waiting.pop(name, None)
+        status_changed = before is not None and after is not None and before.status != after.status
+        if old != new or status_changed:
+            had = set(old)
+            has = set(new)
+            for entry in old:
+                if entry not in has:
+                    self._unplace(name, entry)
+            for entry in new:
+                if entry not in had:
+                    self._place(name, entry)
+                elif status_changed:
+                    self.moved[entry.machine] = None
+        known = after or before
+        if known is not None and len(old) != len(new):
+            used = self.usage.setdefault(known.spec.team, [0.0, 0.0])
+            used[0] += known.spec.cpus * (len(new) - len(old))
+            used[1] += known.spec.gpus * (len(new) - len(old))
+
+    def _place(self, name: JobId, entry: Entry) -> None:
+        key = (name, entry.index)
+        self._places.setdefault(entry.machine, {})[key] = entry
+        self._entries[key] = entry
+        self._touch(entry.machine)
+        if entry.stage == records.DEALT:
+            self.dealt.setdefault(entry.owner, {})[key] = entry
+
+    def _touch(self, machine: str) -> None:
+        self.moved[machine] = None
+        self._loads.pop(machine, None)
+
+    def _unplace(self, name: JobId, entry: Entry) -> None:
+        key = (name, entry.index)
+        if self._entries.get(key) == entry:
+            del self._entries[key]
+        there = self._places.get(entry.machine, {})
+        if there.get(key) == entry:
+            del there[key]
+            if not there:
+                del self._places[entry.machine]
+        self._touch(entry.machine)
+        if entry.stage == records.DEALT:
+            dealt = self.dealt.get(entry.owner, {})
+            if dealt.get(key) == entry:
+                del dealt[key]
+
     def drop(self, key: str, stamp: int) -> bool:
         """Take a removal; False if it is overtaken."""
         if stamp < self.stamp(key):
@@ -97,11 +201,13 @@
                 for old in sorted(self.gone, key=self.gone.__getitem__)[:1000]:
                     del self.gone[old]
         known = self.held.pop(key, None)
+        self.unswept.pop(JobId(key.removeprefix(records.JOBS)), None)
         if known is None:
             return False
-        self.version += 1
         if isinstance(known.record, JobRecord):
-            self.jobs.pop(JobId(key.removeprefix(records.JOBS)), None)
+            name = JobId(key.removeprefix(records.JOBS))
+            self.jobs.pop(name, None)
+            self._index(name, known.record, None)
         elif isinstance(known.record, MemberRecord):
             self.members.pop(known.record.name, None)
         elif isinstance(known.record, PoolRecord):
@@ -110,17 +216,34 @@
 
     def on_machine(self, machine: str) -> list[tuple[JobId, Entry]]:
         """Entries whose place (or, while dealt, hint) is this machine."""
-        return self.by_machine().get(machine, [])
-
-    def by_machine(self) -> dict[str, list[tuple[JobId, Entry]]]:
-        """All entries by machine; built again only after a change."""
-        if self._indexed != self.version:
-            index: dict[str, list[tuple[JobId, Entry]]] = {}
-            for name, job in self.jobs.items():
-                for entry in job.entries:
-                    index.setdefault(entry.machine, []).append((name, entry))
-            self._index, self._indexed = index, self.version
-        return self._index
+        there = self._places.get(machine)
+        return [(name, entry) for (name, _), entry in there.items()] if there else []
+
+    def occupies(self, machine: str) -> bool:
+        """True if any entry names the machine."""
+        return machine in self._places
+
+    def changed_at(self, key: str) -> int:
+        """The revision of the last change, removals included, that we know of."""
+        return max(self.stamp(key), self.gone.get(key, 0))
+
+    def load(self, machine: str) -> Load:
+        """What is taken on a machine, counted again only after a change."""
+        found = self._loads.get(machine)
+        if found is None:
+            there = self._places.get(machine)
+            if not there:
+                return EMPTY
+            found = self._loads[machine] = Load([self.jobs[name].spec for name, _ in there])
+        return found
+
+    def entry(self, name: JobId, index: int) -> Entry | None:
+        """A task's entry."""
+        return self._entries.get((name, index))
+
+    def occupied(self) -> list[str]:
+        """Machines with entries."""
+        return list(self._places)
 
     def reload(self, rows: list[tuple[str, Any, int]], ledger: int) -> None:
         """Replace everything with a full listing that is at least as new as `ledger`."""
--- a/coursefold/transport/peers.py
+++ b/coursefold/transport/peers.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import struct
+import time
 from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -14,15 +15,17 @@
 
 log = logging.getLogger(__name__)
 
-FRAME_LIMIT = 256 * 1024
+FRAME_LIMIT = 1024 * 1024
 IDLE_S = 30.0
 STUCK_S = 2.0
+STEADY_S = 5.0
+GATHER_S = 0.05  # what comes within it goes into one frame
 
 
 class PeerServer(TCPServer):
     """Takes siblings' frames; a length out of bounds ends the connection."""
 
-    def __init__(self, listen: str, take: Callable[[bytes], None]) -> None:
+    def __init__(self, listen: str, take: Callable[[bytes], bool]) -> None:
         super().__init__(max_buffer_size=2 * FRAME_LIMIT)
         self.take = take
         host, port = split_address(listen)
@@ -38,7 +41,8 @@
                         log.error("peer frame of %d bytes from %s dropped", length, address[0])
                         break
                     frame = await stream.read_bytes(length)
-                self.take(frame)
+                if not self.take(frame):
+                    break  # the sibling connects again, and says everything anew
         except (StreamClosedError, TimeoutError, OSError):
             pass
         finally:
@@ -46,12 +50,17 @@
 
 
 class PeerLink:
-    """Our connection to one sibling; only the newest summary matters."""
+    """Our connection to one sibling."""
 
     def __init__(
-        self, member: str, address: str, newest: Callable[[], bytes], period: float
+        self,
+        member: str,
+        address: str,
+        begin: Callable[[str], None],
+        frame: Callable[[str], bytes],
+        period: float,
     ) -> None:
-        self.member, self.newest, self.period = member, newest, period
+        self.member, self.begin, self.frame, self.period = member, begin, frame, period
         self.host, self.port = split_address(address)
         self.wake = asyncio.Event()
 
@@ -59,29 +68,36 @@
         """Connect, send, and connect again with a growing, jittered pause."""
         pause = 0.2
         while True:
+            began = time.monotonic()
             try:
                 async with asyncio.timeout(STUCK_S):
                     stream = await TCPClient().connect(self.host, self.port)
                 stream.set_nodelay(True)
-                pause = 0.2
+                stream.set_close_callback(self.wake.set)
                 try:
                     await self._send(stream)
                 finally:
                     stream.close()
             except (StreamClosedError, TimeoutError, OSError) as wrong:
                 log.debug("peer link to %s: %s", self.member, wrong or type(wrong).__name__)
+            if time.monotonic() - began > STEADY_S:
+                pause = 0.2
             await asyncio.sleep(pause * random.uniform(0.5, 1.5))
             pause = min(2.0, pause * 2)
 
     async def _send(self, stream: IOStream) -> None:
+        self.begin(self.member)
         while True:
             self.wake.clear()
-            frame = self.newest()
-            async with asyncio.timeout(STUCK_S):
-                await stream.write(struct.pack(">I", len(frame)) + frame)
+            frame = self.frame(self.member)
+            if frame:
+                async with asyncio.timeout(STUCK_S):
+                    await stream.write(struct.pack(">I", len(frame)) + frame)
             try:
                 async with asyncio.timeout(self.period):
                     await self.wake.wait()
-                await asyncio.sleep(0.02)
+                if stream.closed():
+                    raise StreamClosedError()
+                await asyncio.sleep(GATHER_S)
             except TimeoutError:
                 pass
--- a/coursefold/transport/state.py
+++ b/coursefold/transport/state.py
@@ -48,12 +48,17 @@
     """The state service by its protocol, within this node's share of its rate."""
 
     def __init__(
-        self, address: str, rps: float, clock: Callable[[], Moment], heard: Callable[[Moment], None]
+        self,
+        address: str,
+        rps: float,
+        nodes: int,
+        clock: Callable[[], Moment],
+        heard: Callable[[Moment], None],
     ) -> None:
         self.http = HttpClient(address, connections=8)
         self.watch = HttpClient(address, connections=1)
         self.clock, self.heard = clock, heard
-        self.budget = Budget(rps * 0.5, rps * 0.4)
+        self.budget = Budget(rps * 0.9 / nodes, rps * 0.4)
 
     async def _ask(
         self, method: str, path: str, body: Any = None, timeout: float = REQUEST_S,
@@ -90,10 +95,9 @@
         status, answer = await self._ask("GET", f"/keys/{key}")
         return self._decode(answer, KeyRow) if status == 200 else None
 
-    async def rows(self, prefix: str) -> tuple[list[KeyRow], int]:
+    async def rows(self, prefix: str, after: str = "") -> tuple[list[KeyRow], int]:
         """Every key with the prefix, and a revision that the listing is at least as new as."""
         found: list[KeyRow] = []
-        after = ""
         first = 0
         while True:
             query = {"Prefix": prefix, "Page": "1000"}
