--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -228,10 +228,11 @@
 
     def pack(self, needs: Iterable[Need], rooms: list[Room]) -> None:
         """Waiting tasks take the free and the booting room first; the rest asks for more."""
+        floor = gangs.Floor(r for r in rooms if not r.lent)
         for need in needs:
             spec = need.spec
             if spec.shape == "ensemble" and need.tasks > 1:
-                self._pack_gang(need, rooms)
+                self._pack_gang(need, floor)
                 continue
             zones = dict(need.zones)
             picker = (
@@ -280,8 +281,9 @@
         if spec.shape == "standing":
             demand.service += w
 
-    def _pack_gang(self, need: Need, rooms: list[Room]) -> None:
-        plan = gangs.fill(need.spec, [r for r in rooms if not r.lent], self.market)
+    def _pack_gang(self, need: Need, floor: gangs.Floor) -> None:
+        rooms = floor.holding(need.spec)
+        plan = gangs.fill(need.spec, rooms, self.market)
         if plan is not None:
             for room in plan:
                 room.take(need.spec)
@@ -292,14 +294,7 @@
             if not open_zones:
                 continue
             have = {
-                z: sum(
-                    1
-                    for r in rooms
-                    if r.zone == z
-                    and (r.kind.name, r.spot) == pool
-                    and r.holds(need.spec)
-                    and not r.draining
-                )
+                z: sum(1 for r in rooms if r.zone == z and (r.kind.name, r.spot) == pool)
                 for z in open_zones
             }
             zone = max(open_zones, key=lambda z: (have[z], z))
@@ -308,7 +303,9 @@
             # What the zone has free is kept for the gang; the rest has to be rented.
             kept = min(have[zone], need.tasks)
             for room in rooms:
-                if kept and room.zone == zone and room.holds(need.spec) and not room.draining:
+                if not kept:
+                    break
+                if room.zone == zone:
                     room.take(need.spec)
                     self._queue(need.spec, PoolId(room.kind.name, room.spot))
                     kept -= 1
--- a/coursefold/coordination/gangs.py
+++ b/coursefold/coordination/gangs.py
@@ -1,5 +1,6 @@
 """Gangs: all places at once, or none."""
 
+from collections.abc import Iterable
 from math import inf
 
 from coursefold.coordination.placement import (
@@ -21,10 +22,10 @@
     With `Together` each zone is tried; the plan whose worst place is best wins, for
     a gang starts with its last task and runs as fast as its slowest machine.
     """
-    usable = [r for r in rooms if not r.draining and allowed(spec, r)]
+    usable = [r for r in rooms if r.holds(spec) and not r.draining and allowed(spec, r)]
     zones = sorted({r.zone for r in usable}) if spec.together else [""]
-    costs = {r.id: cost(spec, r, market, slack) for r in usable if r.holds(spec)}
-    ranked = sorted((r for r in usable if r.id in costs), key=lambda r: costs[r.id])
+    costs = {r.id: cost(spec, r, market, slack) for r in usable}
+    ranked = sorted(usable, key=lambda r: costs[r.id])
     best: tuple[float, list[Room]] | None = None
     for zone in zones:
         plan = _fill([r for r in ranked if not zone or r.zone == zone], spec)
@@ -56,14 +57,66 @@
     return plan if len(plan) == spec.tasks else None
 
 
-def reserve(spec: Job, rooms: list[Room]) -> list[Room]:
-    """Rooms to keep free for a gang that does not fit yet: the emptiest of one zone."""
-    usable = [r for r in rooms if not r.draining and allowed(spec, r)]
-    zones = sorted({r.zone for r in usable}) if spec.together else [""]
+class Floor:
+    """The machines of one round, as gangs look at them.
+
+    A gang that does not fit is looked at in every round. Walking and sorting the whole
+    fleet for each one cost more than all else at 900 machines and some forty waiting
+    gangs, so what several gangs have in common is found once.
+    """
+
+    def __init__(self, rooms: Iterable[Room]) -> None:
+        self.rooms = list(rooms)
+        self._usable: dict[tuple[object, ...], list[Room]] = {}
+        self._holding: dict[tuple[object, ...], list[Room]] = {}
+        self._emptiest: dict[tuple[object, ...], dict[str, list[Room]]] = {}
+
+    @staticmethod
+    def _kind(spec: Job) -> tuple[object, ...]:
+        return (None if spec.builds is None else tuple(spec.builds), spec.zone, spec.spot)
+
+    def usable(self, spec: Job) -> list[Room]:
+        """Rooms that the job allows and that are not kept for another."""
+        kind = self._kind(spec)
+        found = self._usable.get(kind)
+        if found is None:
+            found = [r for r in self.rooms if allowed(spec, r)]
+        found = self._usable[kind] = [r for r in found if not r.draining]
+        return found
+
+    def holding(self, spec: Job) -> list[Room]:
+        """Usable rooms with place for one task; in a round rooms only become fuller."""
+        key = (*self._kind(spec), spec.cpus, spec.gpus, spec.memory)
+        found = self._holding.get(key)
+        if found is None:
+            found = self.usable(spec)
+        found = self._holding[key] = [r for r in found if r.holds(spec) and not r.draining]
+        return found
 
-    def emptiest(zone: str) -> list[Room]:
-        mine = [r for r in usable if not zone or r.zone == zone]
-        return sorted(mine, key=lambda r: (-r.left, r.id))[: spec.tasks]
+    def reserve(self, spec: Job) -> list[Room]:
+        """Rooms to keep free for a gang that does not fit yet: the emptiest of one zone.
 
-    plans = [emptiest(zone) for zone in zones]
-    return max(plans, key=lambda plan: sum(r.left for r in plan), default=[])
+        The order is that of the round's first look: what a task has taken since changes
+        it by little, and only what lesser work is kept off depends on it.
+        """
+        kind = (*self._kind(spec), spec.together)
+        by_zone = self._emptiest.get(kind)
+        if by_zone is None:
+            by_zone = self._emptiest[kind] = {}
+            for room in sorted(self.usable(spec), key=lambda r: (r.left, r.id)):
+                by_zone.setdefault(room.zone if spec.together else "", []).append(room)
+        best: list[Room] = []
+        most = -1.0
+        for _, rooms in sorted(by_zone.items()):
+            while rooms and rooms[-1].draining:
+                rooms.pop()
+            plan: list[Room] = []
+            for room in reversed(rooms):
+                if len(plan) == spec.tasks:
+                    break
+                if not room.draining:
+                    plan.append(room)
+            worth = sum(r.left for r in plan)
+            if worth > most:
+                best, most = plan, worth
+        return best
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -151,20 +151,26 @@
         # Ordinary machines first to those that may use no others: a task that may run
         # on spot machines would sit where a gang or replica could be, and be stopped.
         short = False
+        floor = self._floor(rooms)
         for wait in queue:
             if not wait.job.spec.spot:
-                short |= not self._serve(wait, rooms, quota)
+                short |= not self._serve(wait, rooms, floor, quota)
         if short:
             needed = self.ctx.market().needed
             rooms = [r for r in rooms if r.spot or r.kind.name not in needed]
+            floor = self._floor(rooms)
         for wait in queue:
             if wait.job.spec.spot:
-                self._serve(wait, rooms, quota)
+                self._serve(wait, rooms, floor, quota)
 
-    def _serve(self, wait: Waiting, rooms: list[Room], quota: Quota) -> bool:
+    def _floor(self, rooms: list[Room]) -> gangs.Floor:
+        """Rooms for gangs; what is lent is lent to this leader, or to one before it."""
+        return gangs.Floor(r for r in rooms if not r.lent or r.id in self.wanted)
+
+    def _serve(self, wait: Waiting, rooms: list[Room], floor: gangs.Floor, quota: Quota) -> bool:
         """Place what can be; False if the job still waits for room."""
         if wait.job.spec.shape == "ensemble" and wait.job.spec.tasks > 1:
-            self._gang(wait, rooms, quota)
+            self._gang(wait, floor, quota)
         else:
             self._tasks(wait, rooms, quota)
         return wait.name not in self.short
@@ -304,7 +310,7 @@
         edit = Edit(job_key(name), jobs.deal(deals), fence=ctx.view.token, done=settled)
         ctx.queue.propose(edit)
 
-    def _gang(self, wait: Waiting, rooms: list[Room], quota: Quota) -> None:
+    def _gang(self, wait: Waiting, floor: gangs.Floor, quota: Quota) -> None:
         """Place a whole gang; machines of other owners have to be lent first."""
         ctx = self.ctx
         name, job = wait.name, wait.job
@@ -320,22 +326,21 @@
                 # Else its team's small jobs, which fit what is left, would go on for ever.
                 quota.take(job.spec, job.spec.tasks)
             return
-        usable = [r for r in rooms if not r.lent or r.id in self.wanted]
         kind = (job.spec.zone, job.spec.spot, tuple(job.spec.builds or ()), job.spec.together)
         size = (job.spec.cpus, job.spec.gpus, job.spec.memory)
         least = self.gangs_refused.get((*kind, *size), 1 << 30)
         plan = None
         if job.spec.tasks < least:
-            plan = gangs.fill(job.spec, usable, ctx.market(), self._slack(wait))
+            plan = gangs.fill(job.spec, floor.holding(job.spec), ctx.market(), self._slack(wait))
         if plan is None:
             self.gangs_refused[(*kind, *size)] = min(least, job.spec.tasks)
             self.short.add(name)
             self.reasons[name] = f"{self._why_no_room(job)} ({job.spec.tasks} tasks at once)"
-            for room in gangs.reserve(job.spec, usable):
+            for room in floor.reserve(job.spec):
                 room.draining = True  # in this round only: keeps lesser work off
                 if room.owner != ctx.me and room.tasks == 0:
                     self._want(room)
-            self.preemption.consider_gang(name, job, usable, wait.within)
+            self.preemption.consider_gang(name, job, floor.rooms, wait.within)
             return
         for room in plan:
             room.take(job.spec)
--- a/coursefold/coordination/preemption.py
+++ b/coursefold/coordination/preemption.py
@@ -73,6 +73,10 @@
         self.plans[(name, index)] = ctx.now + RETRY_S
         return True
 
+    def _lowest(self, room: Room) -> int:
+        """The least important rank on a machine, which is the highest number."""
+        return self.ctx.view.load(room.id).lowest
+
     def victims(
         self, room: Room, spec: Job, within: bool, quota: Quota | None, age: float
     ) -> list[tuple[JobId, Entry]] | None:
@@ -120,7 +124,11 @@
         age = self.ctx.wall - job.at
         best: list[tuple[JobId, Entry]] | None = None
         least = 0.0
+        rank = RANKS[job.spec.rank]
+        owed = within and quota is not None and age > GUARANTEE_S
         for room in rooms:
+            if not (owed or self._lowest(room) > rank):
+                continue  # nothing there that this may stop
             if room.draining or room.lent or not allowed(job.spec, room):
                 continue
             found = self.victims(room, job.spec, within, quota, age)
@@ -138,12 +146,20 @@
         if not self._ready(name, job, 0):
             return
         age = self.ctx.wall - job.at
+        rank = RANKS[job.spec.rank]
+        rooms = [
+            r
+            for r in rooms
+            if (r.holds(job.spec) or self._lowest(r) > rank) and allowed(job.spec, r)
+        ]
+        if not any(self._lowest(r) > rank for r in rooms):
+            return
         zones = sorted({r.zone for r in rooms}) if job.spec.together else [""]
         for zone in zones:
             chosen: list[tuple[JobId, Entry]] = []
             places = 0
             for room in sorted(rooms, key=lambda r: -r.left):
-                if (zone and room.zone != zone) or not allowed(job.spec, room):
+                if zone and room.zone != zone:
                     continue
                 if room.holds(job.spec):
                     places += 1
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 from coursefold.protocol.ids import JobId, Stamp
-from coursefold.protocol.wire import Catalog, Job
+from coursefold.protocol.wire import RANKS, Catalog, Job
 from coursefold.storage import records
 from coursefold.storage.records import (
     Ending,
@@ -37,7 +37,7 @@
 class Load:
     """What the entries on one machine take together."""
 
-    __slots__ = ("cpus", "gpus", "images", "memory", "specs")
+    __slots__ = ("cpus", "gpus", "images", "lowest", "memory", "specs")
 
     def __init__(self, specs: list[Job]) -> None:
         self.specs = specs
@@ -45,6 +45,7 @@
         self.gpus = sum(s.gpus for s in specs)
         self.memory = sum(s.memory for s in specs)
         self.images = {s.image: s.image_gb for s in specs}
+        self.lowest = max((RANKS[s.rank] for s in specs), default=-1)
 
 
 EMPTY = Load([])
