--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -226,26 +226,23 @@
 
     def _peer_rooms(self, rooms: dict[str, Room]) -> None:
         roster = self.view.roster
-        view, alive = self.view, self.alive_within()
+        if roster is None:
+            return
+        load, alive = self.view.load, min(3.0, self.alive_within())
+        owner, kind_of = self.owner, self.kind
         for peer in self.peers.values():
-            if roster is None or self.now - peer.at > 3.0:
+            if self.now - peer.at > alive:
                 continue
+            member = peer.member
             for pm in peer.machines.values():
-                kind = self.kind(pm.build)
-                if (
-                    kind is None
-                    or pm.sick
-                    or pm.lost
-                    or pm.deaf
-                    or pm.quiet
-                    or self.now - peer.at > alive
-                    or self.owner(pm.id, pm.zone) != peer.member
-                ):
+                if pm.sick or pm.lost or pm.deaf or pm.quiet:
+                    continue
+                kind = kind_of(pm.build)
+                if kind is None or owner(pm.id, pm.zone) != member:
                     continue
                 room = Room(
-                    pm.id, kind, pm.zone, pm.spot, peer.member, pm.session, view.load(pm.id),
-                    pm.images,
-                )  # fmt: skip
+                    pm.id, kind, pm.zone, pm.spot, member, pm.session, load(pm.id), pm.images
+                )
                 room.draining = pm.draining
                 room.lent = pm.lent
                 room.idle_since = pm.idle_since
--- a/coursefold/coordination/gangs.py
+++ b/coursefold/coordination/gangs.py
@@ -7,8 +7,8 @@
     NO_MARKET,
     Market,
     Room,
+    Weigher,
     allowed,
-    cost,
     zone_limit,
 )
 from coursefold.protocol.wire import Job
@@ -24,7 +24,8 @@
     """
     usable = [r for r in rooms if r.holds(spec) and not r.draining and allowed(spec, r)]
     zones = sorted({r.zone for r in usable}) if spec.together else [""]
-    costs = {r.id: cost(spec, r, market, slack) for r in usable}
+    weigh = Weigher(spec, market, slack)
+    costs = {r.id: weigh(r) for r in usable}
     ranked = sorted(usable, key=lambda r: costs[r.id])
     best: tuple[float, list[Room]] | None = None
     for zone in zones:
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -25,6 +25,7 @@
 
 ENTRY_BYTES = 70
 RECORD_BYTES = 1500
+MOST_DEALT = 200  # tasks of one job in one round
 
 
 class Waiting:
@@ -253,17 +254,19 @@
         picker: Picker | None = None
         deals: list[jobs.Dealt] = []
         places: list[jobs.Task] = []
-        for index in job.waiting(min(room_left, 200) + len(flying) if room_left > 0 else 0):
+        refused = self.refused.covers(job.spec)
+        most = 0 if room_left <= 0 else 1 if refused else min(room_left, MOST_DEALT)
+        for index in job.waiting(most + len(flying) if most else 0):
             if index in flying:
                 continue
             if not quota.fits(job.spec, 1):
                 self.reasons[name] = quota.why_not(job.spec)
                 break
-            if picker is None and not self.refused.covers(job.spec):
+            if picker is None and not refused:
                 picker = Picker(job.spec, rooms, zones, avoid=job.failed_on, market=ctx.market())
             room = picker.take() if picker else None
             if room is None:
-                if not (job.spec.apart or job.spec.together):
+                if not (refused or job.spec.apart or job.spec.together):
                     self.refused.add(job.spec)
                 self.short.add(name)
                 self.reasons[name] = self._why_no_room(job)
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -82,11 +82,13 @@
     @property
     def left(self) -> float:
         """The largest free share of any resource."""
-        return max(
-            self.cpus / self.kind.cpus if self.kind.cpus else 0.0,
-            self.gpus / self.kind.gpus if self.kind.gpus else 0.0,
-            self.memory / self.kind.memory if self.kind.memory else 0.0,
-        )
+        kind = self.kind
+        most = self.cpus / kind.cpus if kind.cpus else 0.0
+        if kind.gpus and self.gpus / kind.gpus > most:
+            most = self.gpus / kind.gpus
+        if kind.memory and self.memory / kind.memory > most:
+            most = self.memory / kind.memory
+        return most
 
 
 def fits_type(spec: Job, kind: MachineType) -> bool:
@@ -181,10 +183,8 @@
     return (spec.image_gb + others + shared) / room.kind.fetch
 
 
-def cost(
-    spec: Job, room: Room, market: Market = NO_MARKET, slack: float = inf
-) -> tuple[float, float, str]:
-    """Less is better: an early start first, then cheap room, then a tight fit.
+class Weigher:
+    """What a task costs in each room. Less is better: early start, cheap room, tight fit.
 
     `slack` is how long the start may take for the job's next aim: a place whose image
     comes later than that costs more than the seconds it takes.
@@ -194,19 +194,44 @@
     replica, which stays, leaves large machines to what comes and goes, and joins
     others rather than take an empty machine from a gang that needs whole ones; a
     tight fit empties other machines, which can then be returned.
+
+    All but the fetch is the same for machines of one type, and looked at once.
     """
-    part = share(spec, room.kind)
-    wasteful = 0.0
-    if spec.spot and not room.spot:
-        wasteful = WASTEFUL if room.kind.name in market.needed else UNUSUAL
-    hourly = (room.kind.spot_price if room.spot else room.kind.price) * part
-    hourly += market.displaced(spec, room.kind)
-    pinned = 0.0
-    if spec.shape == "standing":
-        pinned = 40.0 * (1.0 - part) + (ALONE if room.tasks == 0 else 0.0)
-    fetch = fetch_time(spec, room)
-    late = TOO_LATE if fetch > slack else 0.0
-    return (fetch + late + wasteful + 5.0 * hourly + pinned, room.left, room.id)
+
+    def __init__(self, spec: Job, market: Market = NO_MARKET, slack: float = inf) -> None:
+        self.spec, self.market, self.slack = spec, market, slack
+        self.alone = ALONE if spec.shape == "standing" else 0.0
+        self.bases: dict[tuple[str, bool], float] = {}
+
+    def _base(self, kind: MachineType, spot: bool) -> float:
+        spec, market = self.spec, self.market
+        part = share(spec, kind)
+        wasteful = 0.0
+        if spec.spot and not spot:
+            wasteful = WASTEFUL if kind.name in market.needed else UNUSUAL
+        hourly = (kind.spot_price if spot else kind.price) * part
+        hourly += market.displaced(spec, kind)
+        pinned = 40.0 * (1.0 - part) if spec.shape == "standing" else 0.0
+        return wasteful + 5.0 * hourly + pinned
+
+    def __call__(self, room: Room) -> tuple[float, float, str]:
+        kind = (room.kind.name, room.spot)
+        price = self.bases.get(kind)
+        if price is None:
+            price = self.bases[kind] = self._base(room.kind, room.spot)
+        if room.tasks == 0:
+            price += self.alone
+        if self.spec.image not in room.images:
+            fetch = fetch_time(self.spec, room)
+            price += fetch + (TOO_LATE if fetch > self.slack else 0.0)
+        return (price, room.left, room.id)
+
+
+def cost(
+    spec: Job, room: Room, market: Market = NO_MARKET, slack: float = inf
+) -> tuple[float, float, str]:
+    """What one task costs in one room."""
+    return Weigher(spec, market, slack)(room)
 
 
 def zone_limit(spec: Job) -> int | None:
@@ -231,13 +256,13 @@
         market: Market = NO_MARKET,
         slack: float = inf,
     ) -> None:
-        self.spec, self.market, self.slack = spec, market, slack
+        self.spec, self.weigh = spec, Weigher(spec, market, slack)
         self.zones = zones if zones is not None else {}
         self.limit = zone_limit(spec)
         builds, site, spot = spec.builds, spec.zone or zone, spec.spot
         cpus, gpus, memory = spec.cpus - SLACK, spec.gpus - SLACK, spec.memory - SLACK
         self.heap = [
-            ((room.id in avoid, *cost(spec, room, market, slack)), room)
+            ((room.id in avoid, *self.weigh(room)), room)
             for room in rooms
             if room.gpus >= gpus
             and room.cpus >= cpus
@@ -272,9 +297,7 @@
         self.zones[room.zone] = self.zones.get(room.zone, 0) + 1
         if room.holds(self.spec):
             shunned = self.heap[0][0][0]
-            heapreplace(
-                self.heap, ((shunned, *cost(self.spec, room, self.market, self.slack)), room)
-            )
+            heapreplace(self.heap, ((shunned, *self.weigh(room)), room))
         else:
             heappop(self.heap)
         return room
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -25,11 +25,14 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.25
-GATHER_S = 0.06
-IDLE_PARTS = 3.0
+GATHER_S = 0.1
+IDLE_PARTS = 8.0
+LONGEST_S = 0.5
 FOLLOW_MS = 3000
 FOLLOW_COST = 4.0
+FOLLOW_S = 0.1
 VOUCH_COST = 5.0
+VOUCH_S = 0.15
 PEER_S = 0.7
 COMMITS = 3
 
@@ -50,8 +53,9 @@
             settings.services.state, params.state.rps, nodes, now, self._state_heard
         )
         # All nodes follow, and all count against one rate: each about a sixth of its part.
-        self.follow_pause = nodes * FOLLOW_COST / params.state.rps
-        self.vouch_pause = nodes * VOUCH_COST / params.state.rps
+        # Where the rate is high, what each request costs us sets the pace.
+        self.follow_pause = max(FOLLOW_S, nodes * FOLLOW_COST / params.state.rps)
+        self.vouch_pause = max(VOUCH_S, nodes * VOUCH_COST / params.state.rps)
         self.cloud = HttpClient(settings.services.cloud, connections=4)
         self.server = Server(settings.listen, self._request, params.resources.fd_limit)
         self.peer_server = PeerServer(settings.peer_listen, self._peer)
@@ -129,7 +133,7 @@
         while True:
             # What comes meanwhile is decided on together. A round that takes long is
             # followed by a longer pause, so that reports are answered in between.
-            await asyncio.sleep(max(GATHER_S, cost * IDLE_PARTS))
+            await asyncio.sleep(min(LONGEST_S, max(GATHER_S, cost * IDLE_PARTS)))
             try:
                 async with asyncio.timeout(TICK_S):
                     await self.dirty.wait()
