--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+import uvloop
 
 from coursefold.coordination.core import Core
 from coursefold.coordination.effects import Answer, CloudCall, Direct, Read, Tell, Vouch
@@ -34,7 +35,12 @@
 VOUCH_COST = 5.0
 VOUCH_S = 0.15
 PEER_S = 0.7
+DIRECT_S = 3.0  # later the worker's next report has brought the command
 COMMITS = 3
+STATE_CONNECTIONS = 8
+CLOUD_CONNECTIONS = 4
+DIRECTS = 30  # commands to workers' own addresses at once
+OWN_FILES = 12  # listeners, the event loop, standard streams, a few to spare
 
 
 def now() -> Moment:
@@ -56,8 +62,10 @@
         # Where the rate is high, what each request costs us sets the pace.
         self.follow_pause = max(FOLLOW_S, nodes * FOLLOW_COST / params.state.rps)
         self.vouch_pause = max(VOUCH_S, nodes * VOUCH_COST / params.state.rps)
-        self.cloud = HttpClient(settings.services.cloud, connections=4)
-        self.server = Server(settings.listen, self._request, params.resources.fd_limit)
+        self.cloud = HttpClient(settings.services.cloud, connections=CLOUD_CONNECTIONS)
+        self.directs = asyncio.Semaphore(DIRECTS)
+        reserved = OWN_FILES + STATE_CONNECTIONS + 1 + CLOUD_CONNECTIONS + DIRECTS + 2 * nodes
+        self.server = Server(settings.listen, self._request, params.resources.fd_limit - reserved)
         self.peer_server = PeerServer(settings.peer_listen, self._peer)
         self.links = {
             s.member: PeerLink(s.member, s.peer_addr, self._linked, self._frame, PEER_S)
@@ -226,9 +234,11 @@
             return
         body = encode(DirectOrders(direct.token, direct.session, direct.orders))
         try:
-            status, _ = await client.fetch("POST", "/orders", body, 3.0)
+            # A zone's worth of machines that do not answer must not use up the sockets.
+            async with asyncio.timeout(DIRECT_S), self.directs:
+                status, _ = await client.fetch("POST", "/orders", body, DIRECT_S)
             log.debug("orders to %s: %d", direct.addr, status)
-        except NoAnswer as wrong:
+        except (NoAnswer, TimeoutError) as wrong:
             log.debug("orders to %s: %s", direct.addr, wrong)
         finally:
             client.close()
@@ -452,4 +462,6 @@
         log.info("member %s in %s serves at %s", settings.member, settings.zone, settings.listen)
         await service.run()
 
-    asyncio.run(main())
+    # libuv's loop: on a fleet's reports asyncio's own spends a fifth more, all on waking up.
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
--- a/coursefold/transport/server.py
+++ b/coursefold/transport/server.py
@@ -17,7 +17,8 @@
 
 MAX_BODY = 128 * 1024
 REASONS = {status.value: status.phrase for status in HTTPStatus}
-RESERVED = 60  # sockets for the state service, the cloud, siblings, and workers' addresses
+IDLE_S = 300.0
+SWEEP_S = 20.0
 SUBMIT_S = 3.0
 POLL_S = 1.8
 REPORT_S = 3.5
@@ -36,6 +37,7 @@
     def __init__(self, most: int) -> None:
         self.most = most
         self.used: dict[IOStream, tuple[bool, float]] = {}
+        self.swept_at = time.monotonic()
 
     def opened(self, stream: IOStream) -> None:
         if len(self.used) >= self.most:
@@ -47,6 +49,18 @@
             log.debug("a connection closed for a new one")
         self.used[stream] = (False, time.monotonic())
 
+    def sweep(self) -> None:
+        """Close what has sent no whole request for long: idle, or too slow on purpose."""
+        now = time.monotonic()
+        if now - self.swept_at < SWEEP_S:
+            return
+        self.swept_at = now
+        for stream, (_, asked_at) in list(self.used.items()):
+            if now - asked_at > IDLE_S:
+                stream.close()
+            if stream.closed():
+                del self.used[stream]
+
     def asked(self, stream: IOStream | None, worker: bool) -> None:
         """A request came over it."""
         if stream in self.used:
@@ -68,7 +82,7 @@
 
     def __init__(self, listen: str, dispatch: Dispatch, sockets: int) -> None:
         self.dispatch = dispatch
-        self.connections = Connections(max(8, sockets - RESERVED))
+        self.connections = Connections(max(8, sockets))
         self.open: dict[int, tuple[HTTPServerRequest, float, str]] = {}
         self.last_ticket = 0
         self.http = _Http(
@@ -76,12 +90,14 @@
             max_body_size=MAX_BODY,
             max_buffer_size=2 * MAX_BODY,
             max_header_size=16 * 1024,
-            idle_connection_timeout=300.0,
-            body_timeout=10.0,
         )
+        # A timer for each message, set and unset, cost a twentieth of all processor time at
+        # 600 workers. `Connections` ends what is idle, or sends too slowly, for all at once.
+        self.http.conn_params.header_timeout = None
         self.http.opened = self.connections.opened
         host, port = split_address(listen)
-        self.http.listen(port, host, backlog=512)
+        # As many may come at once as there are sockets: after a restart all workers do.
+        self.http.listen(port, host, backlog=max(512, sockets))
 
     def _request(self, request: HTTPServerRequest) -> None:
         self.last_ticket += 1
@@ -121,5 +137,6 @@
 
     def overdue(self) -> list[int]:
         """Requests that the core could not answer in time."""
+        self.connections.sweep()
         now = time.monotonic()
         return [ticket for ticket, (_, until, _) in self.open.items() if until < now]
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,7 +4,7 @@
 
 from coursefold.protocol.wire import encode
 from coursefold.transport.http_client import HttpClient
-from coursefold.transport.server import RESERVED, Server
+from coursefold.transport.server import Server
 from tests.test_loopback import free_ports
 
 MOST = 12
@@ -13,7 +13,7 @@
 async def flood() -> None:
     (port,) = free_ports(1)
     address = f"127.0.0.1:{port}"
-    server = Server(address, lambda ticket, *_: server.answer(ticket, 200, {}), RESERVED + MOST)
+    server = Server(address, lambda ticket, *_: server.answer(ticket, 200, {}), MOST)
     worker = HttpClient(address, 1)
     body = encode({})
     assert (await worker.fetch("POST", "/agent/beat", body, 2.0))[0] == 200
