--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -35,6 +35,7 @@
 LIST_S = 3.0
 LIST_SHARE = 0.2  # of the cloud's rate; a list may take several pages
 HIRE = 50  # machines in one request, by the protocol
+PAGE = 500  # and in one page of a list
 CATALOG_S = 45.0
 BLOCK_S = 12.0
 SILENT_S = 45.0
@@ -98,6 +99,7 @@
         self.returned: dict[str, float] = {}
         self.returning: dict[str, str] = {}
         self.listed: list[Any] = []
+        self.page_from = ""
         self.lists = 0
         self.list_at = -math.inf
         self.plan_at = -math.inf
@@ -157,14 +159,31 @@
             Edit(records.CATALOG, change, fence=self.ctx.view.token, rank=LATER, tag="catalog")
         )
 
-    def _on_list(self, about: Any, status: int, body: bytes) -> None:
-        if status != 200:
+    def _list(self) -> None:
+        """Ask for the next page, or begin anew when the time has come.
+
+        A page that was refused, or that found no room in the cloud's rate, is asked for
+        again: over 500 machines every list has several, and a list that is given up for one
+        of them, just when hundreds are rented, would leave the fleet unseen.
+        """
+        if self.page_from:
+            self._call("list", {"From": self.page_from, "Page": PAGE}, self.page_from)
+            return
+        due = self.ctx.now - self.list_at > self._list_every()
+        if due and self._call("list", {"Page": PAGE}, ""):
+            self.list_at = self.ctx.now
+            self.listed = []
+
+    def _on_list(self, about: str, status: int, body: bytes) -> None:
+        if status != 200 or about != self.page_from:
             return
         listed = decode(body, MachineList)
         self.listed.extend(listed.machines)
         if listed.more and listed.machines:
-            self._call("list", {"From": listed.machines[-1].name, "Page": 500}, None)
+            self.page_from = listed.machines[-1].name
+            self._list()
             return
+        self.page_from = ""
         rows, self.listed = self.listed, []
         self.lists += 1
         ctx = self.ctx
@@ -277,9 +296,7 @@
             self.answered.clear()
         if ctx.view.catalog is None or ctx.now - self.catalog_at > CATALOG_S:
             self._call("catalog", {}, None)
-        if ctx.now - self.list_at > self._list_every() and self._call("list", {"Page": 500}, None):
-            self.list_at = ctx.now
-            self.listed = []
+        self._list()
         if ctx.view.catalog is None:
             return
         if ctx.now - self.watch_at >= WATCH_S:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,6 +18,7 @@
 from coursefold.protocol.wire import Order, encode
 from coursefold.settings import Settings
 from coursefold.storage import records
+from coursefold.storage.queue import Batch
 from coursefold.storage.records import Ending
 from tests.standins.state import StateStore
 from tests.world import CATALOG, EPOCH, JOB, SETTINGS
@@ -84,6 +85,7 @@
     def __init__(self, world: "Fleet", id: str, zone: str, spot: bool, up_at: float) -> None:
         self.world, self.id, self.zone, self.spot = world, id, zone, spot
         self.up_at, self.gone, self.deaf_until, self.cut_until = up_at, False, 0.0, 0.0
+        self.hung_until = 0.0
         self.session, self.counter, self.token = 1, 0, 0
         self.lease_from = up_at
         self.tasks: dict[str, Task] = {}
@@ -105,7 +107,7 @@
 
     def report(self) -> None:
         world = self.world
-        if self.gone:
+        if self.gone or self._hangs(self.report):
             return
         self._lease()
         self.flight += 1
@@ -116,13 +118,28 @@
         def back(answer: Answer | None) -> None:
             if self.gone or flight != self.flight:
                 return
-            self._answered(answer, sent)
+            if not self._hangs(lambda: back(answer)):
+                self._answered(answer, sent)
 
-        if world.now >= self.cut_until:
-            world.copies(self, body)
+        def send() -> None:
             world.request(target, lambda core, t: core.report(body, t), back, self._hears)
+
+        if world.now < self.cut_until:
+            pass
+        elif (held := world.held(self.zone, world.nodes[target].zone)) > 0:
+            world.after(held, send)  # let go with all the others, when nobody waits for it
+        else:
+            world.copies(self, body)
+            send()
         world.after(4.0, lambda: back(None) if flight == self.flight else None)
 
+    def _hangs(self, work: Callable[[], None]) -> bool:
+        """A hanging machine does nothing, and goes on as if no time had passed."""
+        if self.world.now >= self.hung_until:
+            return False
+        self.world.after(self.hung_until - self.world.now, work)
+        return True
+
     def _hears(self) -> bool:
         return not self.gone and self.world.now >= max(self.deaf_until, self.cut_until)
 
@@ -185,7 +202,7 @@
         return not self.gone and self.tasks.get(task.name) is task and task.state != "exited"
 
     def _ready(self, task: Task) -> None:
-        if not self._here(task):
+        if self._hangs(lambda: self._ready(task)) or not self._here(task):
             return
         if task.number in task.job.done or (task.job.gang and task.job.done):
             self._exit(task, "done")
@@ -200,6 +217,8 @@
         self._changed()
 
     def _finished(self, task: Task) -> None:
+        if self._hangs(lambda: self._finished(task)):
+            return
         if self._here(task) and task.state == "running":
             task.job.done.add(task.number)
             self._exit(task, "done")
@@ -240,7 +259,7 @@
     def __init__(self, world: "Fleet", number: int) -> None:
         self.world, self.number, self.name = world, number, f"n{number}"
         self.zone = ZONES[number % len(ZONES)]
-        self.refused_until = self.cut_until = 0.0
+        self.refused_until = self.cut_until = self.frozen_until = 0.0
         self.life = 0
         self.up = False
         self.skew = world.rng.uniform(-0.02, 0.02)
@@ -277,11 +296,20 @@
     def _loop(self, period: float, life: int, work: Callable[[], None]) -> None:
         def step() -> None:
             if self.life == life:
+                if self.stands(step):
+                    return
                 work()
                 self.world.after(period * self.world.rng.uniform(0.9, 1.1), step)
 
         step()
 
+    def stands(self, work: Callable[[], None]) -> bool:
+        """A controller that stands still does its work, in order, once it goes on again."""
+        if self.world.now >= self.frozen_until:
+            return False
+        self.world.after(self.frozen_until - self.world.now, work)
+        return True
+
     def enter(self) -> Core:
         now = self.world.now
         self.core.at(Moment(1000.0 + now), WallTime(EPOCH + now + self.skew))
@@ -362,7 +390,7 @@
         self.core.read(read.ticket, record if isinstance(record, Ending) else None)
 
     def _commit(self) -> None:
-        world, queue, core = self.world, self.core.queue, self.core
+        world, queue = self.world, self.core.queue
         now = Moment(1000.0 + world.now)
         if queue.stale and self.state_up():
             self._follow()
@@ -378,38 +406,48 @@
             if not self.state_up():
                 queue.refused(batch, now, 0.3)
                 return
-            self.flying += 1
-            life, size = self.life, len(encode(batch.body))
-            if size > 64 * 1024 or len(batch.body["Then"]) > core.ctx.settings.params.state.txn_ops:
-                raise Broken("a transaction over its limits")
-            lost = world.rng.random() < world.lost_commits
-            delay = world.rng.uniform(0.005, 0.05) if not lost else world.rng.uniform(0.0, 9.0)
-
-            def land(batch: Any = batch, life: int = life, lost: bool = lost) -> None:
-                status, body = world.store.commit(world.now, batch.body)
-                if self.life != life or lost:
-                    return
+            self._send(batch)
+
+    def _send(self, batch: Batch) -> None:
+        """One transaction: carried out a little later, its answer lost at times."""
+        world, core = self.world, self.core
+        queue, life = core.queue, self.life
+        self.flying += 1
+        size = len(encode(batch.body))
+        if size > 64 * 1024 or len(batch.body["Then"]) > core.ctx.settings.params.state.txn_ops:
+            raise Broken("a transaction over its limits")
+        lost = world.rng.random() < world.lost_commits
+        delay = world.rng.uniform(0.005, 0.05) if not lost else world.rng.uniform(0.0, 9.0)
+
+        def land() -> None:
+            status, body = world.store.commit(world.now, batch.body)
+            if not lost:
+                heard(status, body)
+
+        def heard(status: int, body: Any) -> None:
+            if self.life != life or self.stands(lambda: heard(status, body)):
+                return
+            self.enter()
+            self.flying -= 1
+            core.ctx.state_ok_at = Moment(1000.0 + world.now)
+            if status == 200:
+                queue.applied(batch, body["Ledger"])
+            elif status == 409:
+                queue.conflicted(batch, body["failed"])
+            else:
+                core.ctx.permit = 0
+                queue.invalid(batch)
+            self.flush()
+
+        def unanswered() -> None:
+            if self.life == life and not self.stands(unanswered):
                 self.enter()
                 self.flying -= 1
-                core.ctx.state_ok_at = Moment(1000.0 + world.now)
-                if status == 200:
-                    queue.applied(batch, body["Ledger"])
-                elif status == 409:
-                    queue.conflicted(batch, body["failed"])
-                else:
-                    core.ctx.permit = 0
-                    queue.invalid(batch)
-                self.flush()
+                queue.unknown(batch, Moment(1000.0 + world.now), 0.3)
 
-            def unanswered(batch: Any = batch, life: int = life) -> None:
-                if self.life == life:
-                    self.enter()
-                    self.flying -= 1
-                    queue.unknown(batch, Moment(1000.0 + world.now), 0.3)
-
-            world.after(delay, land)
-            if lost:
-                world.after(1.5, unanswered)
+        world.after(delay, land)
+        if lost:
+            world.after(1.5, unanswered)
 
     def _link(self, member: str, life: int) -> None:
         """Frames to one sibling; a refused one ends the connection, and all is said anew."""
@@ -417,7 +455,7 @@
         other = int(member[1:])
 
         def send() -> None:
-            if self.life != life:
+            if self.life != life or self.stands(send):
                 return
             world = self.world
             if world.linked(self, other):
@@ -427,6 +465,8 @@
 
                     def arrive() -> None:
                         there = world.nodes[other]
+                        if there.stands(arrive):
+                            return
                         if there.life == theirs and there.up and not there.enter().peer(frame):
                             self.enter().linked(member)
                         if there.up:
@@ -453,6 +493,7 @@
         self.store.set(records.CATALOG, msgspec.to_builtins(self._catalog()))
         self.outage_until = self.cloud_down_until = self.peers_refused_until = 0.0
         self.lost_commits = self.copied = 0.0
+        self.cut_zone, self.zone_until = "", 0.0
         self.capacity = {(z, spot): capacity // 4 for z in ZONES for spot in (False, True)}
         self.workers: dict[str, Worker] = {}
         self.hires: dict[str, list[str]] = {}
@@ -496,6 +537,8 @@
 
         def arrive() -> None:
             there = self.nodes[node]
+            if there.up and there.stands(arrive):
+                return
             if not there.up:
                 self.after(0.001, lambda: back(None) if hears() else None)
                 return
@@ -520,6 +563,14 @@
                 ),
             )
 
+    def held(self, one: str, other: str) -> float:
+        """How long a message between two zones is held back."""
+        return (
+            self.zone_until - self.now
+            if (one == self.cut_zone) != (other == self.cut_zone)
+            else 0.0
+        )
+
     def linked(self, node: Node, other: int) -> bool:
         there = self.nodes[other]
         cut = max(node.cut_until, there.cut_until, self.peers_refused_until)
@@ -530,6 +581,8 @@
         worker = self.workers.get(sent.addr)
 
         def arrive() -> None:
+            if worker is not None and worker._hangs(arrive):
+                return
             if worker is None or worker.gone or self.now < max(worker.deaf_until, worker.cut_until):
                 return
             worker._lease()
@@ -548,7 +601,7 @@
 
         def answer(status: int, body: Any) -> None:
             def back() -> None:
-                if node.life == life and node.up:
+                if node.life == life and node.up and not node.stands(back):
                     node.enter().cloud(call.call, status, encode(body))
                     node.flush()
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,7 +4,7 @@
 
 from coursefold.protocol.wire import encode
 from coursefold.transport.http_client import HttpClient
-from coursefold.transport.server import Server
+from coursefold.transport.server import IDLE_S, Server
 from tests.test_loopback import free_ports
 
 MOST = 12
@@ -33,3 +33,26 @@
 
 def test_a_flood_of_connections_leaves_the_workers_theirs() -> None:
     asyncio.run(asyncio.wait_for(flood(), 20.0))
+
+
+async def sweep() -> None:
+    (port,) = free_ports(1)
+    server = Server(f"127.0.0.1:{port}", lambda ticket, *_: server.answer(ticket, 200, {}), MOST)
+    slow = await asyncio.open_connection("127.0.0.1", port)
+    slow[1].write(b"POST /agent/beat HTTP/1.1\r\nContent-Length: 9\r\n")
+    busy = HttpClient(f"127.0.0.1:{port}", 1)
+    await asyncio.sleep(0.05)
+    for stream in server.connections.used:
+        server.connections.used[stream] = (False, -IDLE_S)
+    await busy.fetch("POST", "/agent/beat", encode({}), 2.0)
+    server.connections.swept_at = -IDLE_S
+    server.overdue()
+    assert await asyncio.wait_for(slow[0].read(), 2.0) == b""
+    assert (await busy.fetch("POST", "/agent/beat", encode({}), 2.0))[0] == 200
+    assert len(server.connections.used) == 1
+    server.http.stop()
+
+
+def test_a_connection_that_sends_no_whole_request_is_closed() -> None:
+    """No timer runs for each message, so a slow sender must be found another way."""
+    asyncio.run(asyncio.wait_for(sweep(), 20.0))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,12 +20,12 @@
 ]
 
 
-def jobs(fleet: Fleet) -> None:
-    """Some eighty jobs: gangs up to 24 whole machines, arrays, services."""
+def jobs(fleet: Fleet, count: int = 80) -> None:
+    """Gangs up to 24 whole machines, arrays, services."""
     rng = fleet.rng
-    for number in range(80):
+    for number in range(count):
         name = f"job-{number}"
-        at = 0.0 if number < 25 else rng.uniform(0.0, CALM)
+        at = 0.0 if number < 0.3 * count else rng.uniform(0.0, CALM)
         cancel = rng.uniform(5.0, 60.0) if rng.random() < 0.15 else None
         team = rng.choice(["red", "blue"])
         image = f"img-{rng.randrange(6)}"
@@ -99,14 +99,60 @@
 ]  # fmt: skip
 
 
+def zone_cut(fleet: Fleet) -> None:
+    """A zone loses everything outside it; what its machines say meanwhile comes at once, late."""
+    fleet.cut_zone, fleet.zone_until = ZONES[1], fleet.now + fleet.rng.uniform(15.0, 30.0)
+    for node in fleet.nodes:
+        if node.zone == fleet.cut_zone:
+            node.cut_until = fleet.zone_until
+
+
+def frozen(fleet: Fleet) -> None:
+    """A controller stands still while its clocks run on."""
+    node = fleet.rng.choice(fleet.nodes)
+    node.frozen_until = fleet.now + fleet.rng.uniform(3.0, 20.0)
+
+
+def hang(fleet: Fleet) -> None:
+    """Many machines hang, for less or more than a lease, and go on."""
+    for worker in fleet.rng.sample(list(fleet.workers.values()), min(60, len(fleet.workers))):
+        worker.hung_until = fleet.now + fleet.rng.uniform(2.0, 22.0)
+
+
+def many(fleet: Fleet) -> None:
+    for worker in fleet.rng.sample(list(fleet.workers.values()), min(60, len(fleet.workers))):
+        if not worker.gone:
+            worker.kill()
+            fleet.capacity[(worker.zone, worker.spot)] += 1
+
+
+def all_down(fleet: Fleet) -> None:
+    """The state service fails, and then all controllers end; some are back in a moment."""
+    outage(fleet)
+    for node in fleet.nodes:
+        if node.up:
+            node.stop()
+            fleet.after(fleet.rng.choice([0.1, 4.0]), node.start)
+
+
 def calm(fleet: Fleet) -> None:
     fleet.lost_commits = fleet.copied = 0.0
     fleet.outage_until = fleet.cloud_down_until = fleet.peers_refused_until = 0.0
+    fleet.zone_until = 0.0
     for node in fleet.nodes:
         node.refused_until = node.cut_until = 0.0
+        node.frozen_until = min(node.frozen_until, fleet.now)
     for worker in fleet.workers.values():
         worker.cut_until = min(worker.cut_until, fleet.now)
         worker.deaf_until = min(worker.deaf_until, fleet.now)
+        worker.hung_until = min(worker.hung_until, fleet.now)
+
+
+LARGE: list[tuple[float, Callable[[Fleet], None]]] = [
+    (18.0, frozen), (20.0, many), (22.0, hang), (26.0, zone_cut), (30.0, crash), (33.0, deaf),
+    (40.0, peers), (44.0, many), (46.0, only_workers), (48.0, frozen), (50.0, hang),
+    (52.0, all_down), (56.5, crash), (60.0, many),
+]  # fmt: skip
 
 
 @pytest.mark.parametrize("seed", [1, 2, 109])
@@ -114,15 +160,32 @@
     play(seed)
 
 
-def play(seed: int) -> Fleet:
-    fleet = Fleet(seed, capacity=MACHINES, teams=TEAMS)
+def test_a_far_larger_fleet() -> None:
+    """Nine hundred machines, and many of them falling together."""
+    fleet = play(9, machines=900, count=220, end=170.0, fixed=LARGE)
+    assert len(fleet.workers) > 700
+
+
+def play(
+    seed: int,
+    machines: int = MACHINES,
+    count: int = 80,
+    end: float = END,
+    fixed: list[tuple[float, Callable[[Fleet], None]]] | None = None,
+) -> Fleet:
+    scale = machines / MACHINES
+    teams = [t | {k: float(t[k]) * scale for k in ("gpus", "gpus_max")} for t in TEAMS]  # type: ignore[arg-type]
+    fleet = Fleet(seed, capacity=machines, teams=teams)
     fleet.lost_commits, fleet.copied = 0.02, 0.05
-    jobs(fleet)
-    for _ in range(fleet.rng.randrange(6, 14)):
-        trouble = fleet.rng.choice(TROUBLES)
-        fleet.after(fleet.rng.uniform(10.0, CALM - 2.0), lambda t=trouble: t(fleet))  # type: ignore[misc]
+    jobs(fleet, count)
+    troubles = fixed or [
+        (fleet.rng.uniform(10.0, CALM - 2.0), fleet.rng.choice(TROUBLES))
+        for _ in range(fleet.rng.randrange(6, 14))
+    ]
+    for at, trouble in troubles:
+        fleet.after(at, lambda t=trouble: t(fleet))  # type: ignore[misc]
     fleet.after(CALM, lambda: calm(fleet))
-    fleet.run(END)
+    fleet.run(end)
     for job in fleet.jobs.values():
         if job.over():
             continue
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -6,6 +6,8 @@
 
 from coursefold.coordination import jobs
 from coursefold.coordination.demand import PoolDemand
+from coursefold.coordination.effects import CloudCall
+from coursefold.coordination.gangs import Floor
 from coursefold.coordination.ordering import LONG_S, Ordering
 from coursefold.coordination.placement import Market, Picker, Room
 from coursefold.coordination.queueing import optimum
@@ -123,3 +125,52 @@
     assert not leader._soon(replica)
     leader.booting, leader.up = [], {"g8"}
     assert not leader._soon(replica)
+
+
+def test_a_page_of_the_list_that_was_refused_is_asked_for_again() -> None:
+    """Over 500 machines a list has several pages; one refusal must not lose the list."""
+    world = World()
+    fleet, ctx = world.core.fleet, world.core.ctx
+    world.run(1.0)
+    box = {"Addr": "10.0.0.9:9000", "Build": "g2", "Site": "a", "Loaners": False}
+    rows = [box | {"NameId": f"i-{n:06d}", "Status": "starting", "HeldS": 0.0} for n in range(3)]
+    refused = iter([True, False])
+    asked: list[str | None] = []
+    before = fleet.lists
+    fleet.list_at = -1e9
+    for _ in range(16):
+        world.now += 0.25
+        world.enter()
+        fleet.tick()
+        while ctx.out:
+            call = ctx.out.pop(0)
+            if not isinstance(call, CloudCall) or call.verb != "list":
+                continue
+            start = call.body.get("From")
+            asked.append(start)
+            if start is None:
+                world.core.cloud(call.call, 200, encode({"Boxes": rows[:2], "More": True}))
+            elif next(refused, False):
+                world.core.cloud(call.call, 429, encode({"error": "too many"}))
+            else:
+                world.core.cloud(call.call, 200, encode({"Boxes": rows[2:], "More": False}))
+    assert asked[:3] == [None, "i-000001", "i-000001"]
+    assert fleet.lists > before
+    assert {row["NameId"] for row in rows} <= set(fleet.known)
+
+
+def test_what_gangs_have_in_common_is_found_once_and_rightly() -> None:
+    """Rooms kept for one gang are not offered to the next; the emptiest zone is kept."""
+    spec = job(Shape="ensemble", Pieces=2, Vcpus=16.0, Accelerators=2.0, Together=True)
+    rooms = [Room(f"i-{n}", SMALL, "a" if n < 3 else "b", False, "n0", 1) for n in range(6)]
+    rooms[0].take(job(Vcpus=8.0))
+    floor = Floor(rooms)
+    assert len(floor.holding(spec)) == 5
+    kept = floor.reserve(spec)
+    assert {r.zone for r in kept} == {"a"} and rooms[0] not in kept
+    for room in kept:
+        room.draining = True
+    again = floor.reserve(spec)
+    assert {r.zone for r in again} == {"b"} and not set(again) & set(kept)
+    assert len(floor.holding(spec)) == 3
+    assert not Floor([]).reserve(spec)
