--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -40,6 +40,7 @@
 BLOCK_S = 12.0
 SILENT_S = 45.0
 WATCH_S = 0.5
+DARK = 6  # machines; of fewer, silence says nothing about their zone
 LATE = 1.6  # times the boot time; most machines take up to 1.5
 
 
@@ -348,6 +349,7 @@
                         self._adopt(pm.id, pm.build, pm.zone, pm.spot)
         lease = ctx.settings.params.workers.lease_s
         settled = ctx.now - ctx.token_since > lease * DRIFT + 4.0
+        dark = self._dark(seen)
         for known in list(self.known.values()):
             if known.id in self.returned:
                 continue
@@ -364,7 +366,7 @@
                 if lost != known.lost:
                     known.lost = lost
                     self._count_loss(known, lost)
-                if lost:
+                if lost and known.zone not in dark:
                     self._silent(known)
                 known.sick = sick
                 if sick and not lost and not ctx.view.on_machine(known.id):
@@ -373,16 +375,42 @@
                     self._give_up(known, "sick")
             elif known.status == "failed":
                 self._give_up(known, "failed")
+            elif known.zone in dark:
+                continue
             elif not known.up and age > 2.0 * boot + 20.0 and settled:
                 if ctx.owner(known.id, known.zone) in fresh:
                     self._give_up(known, "never up")
             elif known.up and settled and ctx.owner(known.id, known.zone) in fresh:
                 self._give_up(known, "not heard under this roster")
-        self._orphans(seen, fresh, settled)
+        self._orphans(seen, fresh, settled, dark)
         for name, at in list(self.returned.items()):
             if ctx.now - at > 180.0:
                 del self.returned[name]
 
+    def _dark(self, seen: dict[str, Seen]) -> set[str]:
+        """Zones of which most machines went silent together: most likely cut off, not dead.
+
+        Seen: a zone was cut off for 40 s, and half of the fleet was returned and rented
+        anew, while its own controllers kept all that ran there. So its machines are waited
+        for as long as those controllers may renew leases (until `_orphans` has its proof).
+        A machine that is dead after all is listed so, or no more, after half a minute.
+        """
+        ctx = self.ctx
+        if ctx.now - ctx.token_since > self._renewable():
+            return set()
+        up: dict[str, int] = {}
+        heard: dict[str, int] = {}
+        for known in self.known.values():
+            if known.id not in self.returning and (known.up or known.status == "running"):
+                up[known.zone] = up.get(known.zone, 0) + 1
+                if known.id in seen and not seen[known.id].lost:
+                    heard[known.zone] = heard.get(known.zone, 0) + 1
+        return {z for z, n in up.items() if n >= DARK and 2 * heard.get(z, 0) < n}
+
+    def _renewable(self) -> float:
+        """For how long after a new roster a former owner may still have renewed leases."""
+        return self.ctx.settings.params.workers.cancel_s * DRIFT + 5.0
+
     def _late(self, known: Known) -> bool:
         """Should it be up by now? Then nothing waits for it, and another is rented.
 
@@ -396,14 +424,15 @@
         if id not in self.known and id not in self.returned:
             self.known[id] = Known(id, build, zone, spot, self.ctx.now)
 
-    def _orphans(self, seen: dict[str, Seen], fresh: set[Any], settled: bool) -> None:
+    def _orphans(
+        self, seen: dict[str, Seen], fresh: set[Any], settled: bool, dark: set[str]
+    ) -> None:
         """Places on machines that nobody hears and no list shows: prove them gone."""
         ctx = self.ctx
         roster = ctx.view.roster
         if not settled or roster is None:
             return
         waited = ctx.now - ctx.token_since
-        cancel = ctx.settings.params.workers.cancel_s
         for machine in ctx.view.occupied():
             heard = seen.get(machine)
             if heard is not None and not (heard.lost and machine not in self.known):
@@ -417,10 +446,10 @@
                 continue
             if ctx.owner(machine, placed[0][1].zone) not in fresh:
                 continue
-            if waited > cancel * DRIFT + 5.0:
+            if waited > self._renewable():
                 # Longer than any former owner may have gone on renewing its lease.
                 self._gone(machine)
-            elif machine not in self.returning:
+            elif machine not in self.returning and placed[0][1].zone not in dark:
                 self.returning[machine] = "unheard of, with tasks"
 
     def _give_up(self, known: Known, why: str) -> None:
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -35,6 +35,7 @@
 # than `gang_wait_s`; the image is here now, and the attempt is not lost by it.
 AGAIN = frozenset({"busy", "incomplete"})
 
+KEPT_S = 1.0  # a lease that we renew ends this long before a promised cancellation has to hold
 ALONE_S = 8.0  # without state service and siblings: then it is most likely we who are cut off
 SWEEP_S = 0.5
 HELD_S = 0.2  # reports closer than this were held back and let go together
@@ -155,6 +156,10 @@
         workers = ctx.settings.params.workers
         if ctx.my_record() is None:
             return False
+        # A lease counts from when the report was sent, which is before we answer it, and a
+        # promise that we do not know of is younger than our last news. Seen: five seconds
+        # held back here let a cut zone's leases end just before the cut did.
+        longest = workers.cancel_s - workers.lease_s * DRIFT - KEPT_S
         silence = ctx.now - ctx.follow_ok_at
         peers = [p for p in ctx.peers.values() if ctx.now - p.at < 2.5]
         if silence > 4.0 and any(p.state_age < 2.0 for p in peers):
@@ -164,8 +169,8 @@
         if not peers and ctx.settings.siblings:
             # Neither the state service nor any sibling: the others, who may have both,
             # can take our workers over before their leases end, if we let them go.
-            return silence < min(ALONE_S, workers.cancel_s - workers.lease_s * DRIFT - 5.0)
-        return silence < workers.cancel_s - workers.lease_s * DRIFT - 5.0
+            return silence < min(ALONE_S, longest)
+        return silence < longest
 
     def _keep(self, r: Report, ticket: int) -> None:
         """Renew a lease and command nothing but the end of cancelled tasks."""
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
 from coursefold.coordination import jobs
@@ -13,6 +14,7 @@
 from coursefold.coordination.queueing import optimum
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Catalog, Job, decode, encode
+from coursefold.storage import records
 from coursefold.storage.queue import Void
 from coursefold.storage.records import PLACED, Entry, JobRecord
 from tests.world import CATALOG, JOB, World
@@ -174,3 +176,37 @@
     assert {r.zone for r in again} == {"b"} and not set(again) & set(kept)
     assert len(floor.holding(spec)) == 3
     assert not Floor([]).reserve(spec)
+
+
+@pytest.mark.parametrize(("silent", "waits"), [(8, True), (2, False)])
+def test_a_zone_that_falls_silent_at_once_is_waited_for(silent: int, waits: bool) -> None:
+    """Seen: a zone cut off for 40 s; half of the fleet was returned, and all on it lost."""
+    world = World()
+    names = [f"i-{n:06d}" for n in range(8)]
+
+    def report(name: str, at: int) -> None:
+        world.report(name, [], Site="b", Counter=at)
+
+    for at in (1, 2):
+        for name in names:
+            report(name, at)
+        world.run(world.now + 1.0)
+    # Others may have renewed their leases since: silence alone proves nothing about them.
+    world.store.set(str(records.ROSTER), world.store.keys[records.ROSTER][0])
+    place = Entry(0, PLACED, 1, "n0", "b", names[0], 1)
+    world.submit("job-1", Site="b")
+    key = records.job_key(JobId("job-1"))
+    live = world.core.view.jobs[JobId("job-1")]
+    held = msgspec.structs.replace(live, attempt=1, entries=[place])
+    world.store.set(key, records.dump(held))
+    began, at = world.now, 3
+    while world.now < began + 30.0:
+        for name in names[silent:]:
+            report(name, at)
+        at += 1
+        world.run(world.now + 2.0)
+    assert (names[0] not in world.returned) == waits
+    places = [e.machine for e in world.core.view.jobs[JobId("job-1")].entries]
+    assert (places == [names[0]]) == waits
+    world.run(began + 50.0)
+    assert names[0] in world.returned
