--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from coursefold.coordination import jobs
+from coursefold.coordination import jobs, summary
 from coursefold.coordination.context import DRIFT, Context, Machine
 from coursefold.coordination.effects import Answer, Direct
 from coursefold.coordination.election import Election
@@ -37,6 +37,8 @@
 
 KEPT_S = 1.0  # a lease that we renew ends this long before a promised cancellation has to hold
 ALONE_S = 8.0  # without state service and siblings: then it is most likely we who are cut off
+HEARD_S = 2.5
+NEWS_S = 4.0
 SWEEP_S = 0.5
 HELD_S = 0.2  # reports closer than this were held back and let go together
 DEAF = 1.5  # leases
@@ -56,6 +58,7 @@
         self.swept_token = -1
         self.departed: dict[str, tuple[int, int]] = {}
         self.watched: set[str] = set()
+        self.company = -1.0
 
     # Reports
 
@@ -68,6 +71,9 @@
             return
         owner = ctx.owner(r.machine, r.zone)
         if owner != ctx.me:
+            if owner is not None and self._stands_in(owner) and r.token <= ctx.view.token:
+                self._keep(r, ticket)
+                return
             if ctx.now - ctx.follow_ok_at > 8.0 or owner is None:
                 self._refuse(ticket)
                 return
@@ -161,17 +167,43 @@
         # held back here let a cut zone's leases end just before the cut did.
         longest = workers.cancel_s - workers.lease_s * DRIFT - KEPT_S
         silence = ctx.now - ctx.follow_ok_at
-        peers = [p for p in ctx.peers.values() if ctx.now - p.at < 2.5]
-        if silence > 4.0 and any(p.state_age < 2.0 for p in peers):
+        peers = [p for p in ctx.peers.values() if ctx.now - p.at < HEARD_S]
+        if silence > NEWS_S and any(p.state_age < 2.0 for p in peers):
             return False  # only we are refused: let the others have our workers
         if len(peers) == len(ctx.settings.siblings) and all(p.state_age > 2.0 for p in peers):
             return True
-        if not peers and ctx.settings.siblings:
+        if peers and silence > NEWS_S:
+            self.company = ctx.follow_ok_at
+        alone = not peers and ctx.settings.siblings and self.company != ctx.follow_ok_at
+        if alone:
             # Neither the state service nor any sibling: the others, who may have both,
             # can take our workers over before their leases end, if we let them go.
             return silence < min(ALONE_S, longest)
         return silence < longest
 
+    def _stands_in(self, owner: str) -> bool:
+        """Keep another's workers: it ended, and is back where no state service answers.
+
+        Seen: a controller of a zone that was cut off crashed, and so did one just before an
+        outage. The new process knows no roster, so all its workers' leases ran out beside
+        siblings that kept their own. What it says after our last news, under another lease
+        than the roster's, shows that nobody will act for it under this token again: so no
+        silence is counted that our answers would make wrong.
+        """
+        ctx = self.ctx
+        peer = ctx.peers.get(owner)
+        roster = ctx.view.roster
+        member = roster.member(owner) if roster else None
+        oldest = summary.oldest(ctx.settings.params.skew_ms)
+        return (
+            peer is not None
+            and member is not None
+            and ctx.now - ctx.follow_ok_at > max(NEWS_S, oldest)
+            and ctx.now - peer.at < HEARD_S
+            and peer.permit != member.permit
+            and self.may_keep()
+        )
+
     def _keep(self, r: Report, ticket: int) -> None:
         """Renew a lease and command nothing but the end of cancelled tasks."""
         ctx = self.ctx
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -154,6 +154,11 @@
             ctx.finished.clear()
 
 
+def oldest(skew_ms: float) -> float:
+    """Age in seconds beyond which a frame is refused, whatever the clocks make of it."""
+    return LATE_S + 4.0 * skew_ms / 1000.0 + 0.1
+
+
 def read(ctx: Context, frame: bytes) -> peer_pb2.Envelope | None:
     """A sibling's frame, if it is readable, a sibling's, and the next one of its connection."""
     try:
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -161,7 +161,9 @@
 
     def do_peer(self, words: list[str]) -> str:
         fields = fields_of(words[1:])
-        self.world.peer(self.world.peer_frame(words[0], float(fields["age"])))
+        known = self.world.core.view.members.get(words[0])
+        permit = known.permit if known and fields.get("lease") == "same" else 0
+        self.world.peer(self.world.peer_frame(words[0], float(fields["age"]), permit=permit))
         return ""
 
     def do_members(self, words: list[str]) -> str:
--- a/tests/world.py
+++ b/tests/world.py
@@ -288,7 +288,9 @@
         permit = self.store.grant(self.now, 3_600_000)
         self.store.set(records.MEMBERS + member, [member, permit, zone], permit)
 
-    def peer_frame(self, member: str, state_age: float = 0.0, version: int = 2) -> bytes:
+    def peer_frame(
+        self, member: str, state_age: float = 0.0, version: int = 2, permit: int = 0
+    ) -> bytes:
         """A summary as a sibling would send it now."""
         self.frames += 1
         envelope = peer_pb2.Envelope(
@@ -297,6 +299,7 @@
         envelope.summary.full = True
         envelope.summary.token = self.core.view.token
         envelope.summary.state_age_s = state_age
+        envelope.summary.permit = permit
         return envelope.SerializeToString()
 
     def take_over(self, leader: str, zone: str) -> None:
