--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -82,9 +82,9 @@
         worker.cut_until = fleet.now + fleet.rng.uniform(2.0, 25.0)
 
 
-def taken(fleet: Fleet) -> None:
+def taken(fleet: Fleet, count: int = 15) -> None:
     """A wave of machines goes without notice."""
-    for worker in fleet.rng.sample(list(fleet.workers.values()), min(15, len(fleet.workers))):
+    for worker in fleet.rng.sample(list(fleet.workers.values()), min(count, len(fleet.workers))):
         if not worker.gone:
             worker.kill()
             fleet.capacity[(worker.zone, worker.spot)] += 1
@@ -120,10 +120,7 @@
 
 
 def many(fleet: Fleet) -> None:
-    for worker in fleet.rng.sample(list(fleet.workers.values()), min(60, len(fleet.workers))):
-        if not worker.gone:
-            worker.kill()
-            fleet.capacity[(worker.zone, worker.spot)] += 1
+    taken(fleet, 60)
 
 
 def all_down(fleet: Fleet) -> None:
