--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -26,14 +26,14 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.25
-GATHER_S = 0.1
+GATHER_S = 0.2
 IDLE_PARTS = 8.0
 LONGEST_S = 0.5
 FOLLOW_MS = 3000
 FOLLOW_COST = 4.0
-FOLLOW_S = 0.1
+FOLLOW_S = 0.2
 VOUCH_COST = 5.0
-VOUCH_S = 0.15
+VOUCH_S = 0.25
 PEER_S = 0.7
 DIRECT_S = 3.0  # later the worker's next report has brought the command
 COMMITS = 3
