Both versions side by side in the tests; what was given up at the switch stays out

The level's record names controllers that stayed down; for them the roster is closed to old versions.

--- a/coursefold/coordination/election.py
+++ b/coursefold/coordination/election.py
@@ -98,8 +98,11 @@
         ]
         if roster is not None and roster.leader == ctx.me and ctx.my_record() is not None:
             self.leaderless_since = None
-            if members != roster.members and self._settled(members, roster):
-                self._commit(Roster(ctx.me, members), "membership changed")
+            # One that was given up may come back with an old version, and must not lead.
+            readable = bool(ctx.view.given_up) and roster.level < ctx.view.level
+            if readable or (members != roster.members and self._settled(members, roster)):
+                why = "closed to older versions" if readable else "membership changed"
+                self._commit(Roster(ctx.me, members, ctx.view.level), why)
             return
         leader = roster.member(roster.leader) if roster else None
         if (
@@ -112,7 +115,7 @@
         if self.leaderless_since is None:
             self.leaderless_since = ctx.now
         if ctx.now - self.leaderless_since >= 0.3 * self._place(members, roster):
-            self._commit(Roster(ctx.me, members), "no leader")
+            self._commit(Roster(ctx.me, members, ctx.view.level), "no leader")
 
     def _settled(self, members: list[MemberRecord], roster: Roster) -> bool:
         """Is it time for a new roster? At once when a member has left; joins are gathered.
--- a/coursefold/coordination/upgrade.py
+++ b/coursefold/coordination/upgrade.py
@@ -144,7 +144,7 @@
         def change(current: Struct | None) -> Result:
             if isinstance(current, Level) and current.level >= records.OURS:
                 raise Void("switched")
-            return Level(records.OURS)
+            return Level(records.OURS, waits)
 
         edit = Edit(records.LEVEL, change, rank=FIRST, fence=ctx.view.token, tag="switch")
         if ctx.queue.propose(edit):
--- a/coursefold/storage/records.py
+++ b/coursefold/storage/records.py
@@ -72,9 +72,13 @@
 
 
 class Level(Struct, array_like=True, frozen=True):
-    """The forms that all controllers are known to read. Only ever raised."""
+    """The forms that all controllers are known to read. Only ever raised.
+
+    All but those that had stayed down for long: they may come back as they were.
+    """
 
     level: int
+    given_up: list[str] = []
 
 
 class MemberRecord(Struct, array_like=True, frozen=True):
@@ -90,6 +94,7 @@
 
     leader: str
     members: list[MemberRecord]
+    level: int = 0  # of the form in which it was read
 
     def member(self, name: str) -> MemberRecord | None:
         return next((m for m in self.members if m.name == name), None)
@@ -315,7 +320,7 @@
 
 # Fields that may be left out at a record's end when they are empty. For an ending that is
 # what version 0.1 knows it by: a list of two.
-_LEAST: dict[type[Struct], int] = {_Job: 6, Ending: 2}
+_LEAST: dict[type[Struct], int] = {_Job: 6, Ending: 2, Roster: 2}
 
 
 def dump(record: Struct, level: int = 0) -> Any:
@@ -350,7 +355,7 @@
     if key == ROSTER:
         if isinstance(value, list) and value and isinstance(value[0], int):
             newer = msgspec.convert(value, _Roster)
-            return Roster(newer.leader, newer.members)
+            return Roster(newer.leader, newer.members, newer.level)
         return msgspec.convert(value, Roster)
     if key in (CATALOG, TYPES):
         return msgspec.convert(value, Catalog)
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -71,6 +71,7 @@
         self.token = 0  # the roster's Stamp
         self.catalog: Catalog | None = None
         self.level = 0  # the forms that all controllers read
+        self.given_up: list[str] = []  # but for these, if they come back
         self.versions: dict[str, Version] = {}
         self.needs = Needs()
         self.unreadable: set[str] = set()
@@ -213,6 +214,7 @@
                 self.catalog = record
         elif isinstance(record, Level):
             self.level = max(self.level, record.level)
+            self.given_up = record.given_up
         elif isinstance(record, Version):
             self.versions[key.removeprefix(records.VERSIONS)] = record
         if isinstance(record, JobRecord):
--- /dev/null
+++ b/tests/production.py
@@ -0,0 +1,82 @@
+"""The version in production beside the one under test, both in one process.
+
+Its sources come from this repository's own history, at the commit that
+`deploy/service.toml` names, and are imported under another package name. Without that
+history nothing here can be shown, so it fails and is not skipped.
+"""
+
+import importlib
+import io
+import re
+import subprocess
+import sys
+import tarfile
+import tomllib
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+NAME = "coursefold_in_production"
+IMPORT = re.compile(r"^(\s*(?:from|import) )coursefold\b", re.MULTILINE)
+
+
+class Version(SimpleNamespace):
+    """What a simulated controller needs of one version's modules."""
+
+    name: str
+    Core: Any
+    Settings: Any
+    records: Any
+
+
+def _version(name: str, package: str) -> Version:
+    effects = importlib.import_module(f"{package}.coordination.effects")
+    return Version(
+        name=name,
+        Core=importlib.import_module(f"{package}.coordination.core").Core,
+        Settings=importlib.import_module(f"{package}.settings").Settings,
+        records=importlib.import_module(f"{package}.storage.records"),
+        view=importlib.import_module(f"{package}.storage.view"),
+        **{kind: getattr(effects, kind) for kind in KINDS},
+    )
+
+
+KINDS = ("Answer", "CloudCall", "Direct", "Read", "Tell", "Vouch")
+OURS = _version("ours", "coursefold")
+
+
+def commit() -> str:
+    """The commit that runs in production."""
+    text = (ROOT / "deploy" / "service.toml").read_text(encoding="utf-8")
+    return str(tomllib.loads(text)["production"])
+
+
+def _unpack(into: Path) -> None:
+    command = ["git", "-C", str(ROOT), "archive", commit(), "coursefold"]
+    made = subprocess.run(command, capture_output=True, check=False)
+    if made.returncode:
+        raise AssertionError(f"production's sources: {made.stderr.decode().strip()}")
+    with tarfile.open(fileobj=io.BytesIO(made.stdout)) as archive:
+        for member in archive.getmembers():
+            source = archive.extractfile(member)
+            if source is None or not member.name.endswith(".py"):
+                continue
+            path = into / NAME / Path(member.name).relative_to("coursefold")
+            path.parent.mkdir(parents=True, exist_ok=True)
+            # The generated module is the same in both, and its names are the protocol's.
+            text = source.read().decode()
+            path.write_text(IMPORT.sub(rf"\1{NAME}", text), encoding="utf-8")
+
+
+def production(folder: Path) -> Version:
+    """Production's modules, unpacked into an empty folder at the first call."""
+    if NAME not in sys.modules:
+        _unpack(folder)
+        sys.path.insert(0, str(folder))
+        try:
+            importlib.import_module(NAME)
+            return _version("production", NAME)
+        finally:
+            sys.path.remove(str(folder))
+    return _version("production", NAME)
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -1,5 +1,6 @@
 """A state service in memory: keys, leases, guarded transactions, changes."""
 
+import json
 from typing import Any
 
 
@@ -12,6 +13,7 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.last_permit = 0
         self.news: list[dict[str, Any]] = []
+        self.txn_ops, self.value_bytes = 10_000, 1 << 30
 
     def expire(self, now: float) -> None:
         """End the leases that were not renewed in time."""
@@ -55,6 +57,10 @@
         guards = body.get("Guards", [])
         failed = [g["K"] for g in guards if self.keys.get(g["K"], (0, 0, 0))[1] != g["Stamp"]]
         changes = body.get("Then", [])
+        if len(changes) > self.txn_ops or len(guards) > 4 * self.txn_ops:
+            return 400, {"error": "too many operations"}
+        if any(len(json.dumps(c["Value"])) > self.value_bytes for c in changes if "Value" in c):
+            return 400, {"error": "the value is too large"}
         if any(c.get("Permit") and c["Permit"] not in self.leases for c in changes):
             return 400, {"error": "no such lease"}
         if failed:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -183,6 +183,14 @@
         fleet.after(at, lambda t=trouble: t(fleet))  # type: ignore[misc]
     fleet.after(CALM, lambda: calm(fleet))
     fleet.run(end)
+    nothing_lost(fleet)
+    assert len(fleet.workers) > 100
+    assert {w.zone for w in fleet.workers.values()} == set(ZONES)
+    return fleet
+
+
+def nothing_lost(fleet: Fleet) -> None:
+    """Each job runs or is over, and its user was answered lately."""
     for job in fleet.jobs.values():
         if job.over():
             continue
@@ -190,6 +198,3 @@
             raise Broken(f"{job.name}: not answered about since {job.answered_at:.1f}")
         if job.first_start < 0:
             raise Broken(f"{job.name}: has never run")
-    assert len(fleet.workers) > 100
-    assert {w.zone for w in fleet.workers.values()} == set(ZONES)
-    return fleet
