Machines are lent beside what runs on them

Cause: an owner lent only empty machines, but a gang's best places may be beside others; the leader then asked for them in vain. What an owner is about to place itself is still not lent.

--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -226,13 +226,18 @@
 
 
 def lend(ctx: Context, wanted: frozenset[str]) -> None:
-    """Keep empty machines of our part free while the leader wants them."""
+    """Place nothing new on machines of our part while the leader wants them.
+
+    What runs there already is in the records that the leader sees; what we are about to
+    place is not. Seen: only empty machines were lent, and a gang of small tasks, whose best
+    places were beside others, waited for ever.
+    """
     if not wanted:
         return
     planned = {machine for machine, _ in ctx.pending.values()}
     for name in wanted:
         m = ctx.machines.get(name)
-        if m is None or not ctx.owns(m.id, m.zone) or ctx.view.occupies(name) or name in planned:
+        if m is None or not ctx.owns(m.id, m.zone) or name in planned:
             continue
         if m.lent_until <= ctx.now:
             ctx.tell = True
