Work without accelerators fills what is left over

They are dealt last, prefer machines without a free accelerator, and count neither as arrivals nor as use; what finds no room still asks for machines.

--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -177,6 +177,14 @@
             for spot in (False, True)
         }
 
+    def _leftover(self, spec: Job, kind: MachineType) -> bool:
+        """A task without accelerators on a machine that is rented for those with them.
+
+        It fills what they leave over, so it neither counts as use of the machine nor asks
+        for more of them, but for what finds no room at all.
+        """
+        return not spec.gpus and kind.gpus > 0 and self.market.accelerated
+
     def choices(self, spec: Job) -> list[PoolId]:
         """Pools that the job allows, cheapest first."""
         run = self.runs.mean(spec, self.now) if spec.shape != "standing" else 600.0
@@ -202,6 +210,8 @@
         choices = self.choices(spec)
         for at, pool in enumerate(choices):
             demand = self.pools[pool]
+            if self._leftover(spec, demand.kind):
+                return
             w = weight(spec, demand.kind)
             take = left
             if not self.open_zones(pool, spec) and at + 1 < len(choices):
@@ -216,7 +226,7 @@
 
     def running(self, spec: Job, pool: PoolId) -> None:
         demand = self.pools.get(pool)
-        if demand is None:
+        if demand is None or self._leftover(spec, demand.kind):
             return
         w = weight(spec, demand.kind)
         demand.busy += w
@@ -276,6 +286,8 @@
 
     def _queue(self, spec: Job, pool: PoolId) -> None:
         demand = self.pools[pool]
+        if self._leftover(spec, demand.kind):
+            return
         w = weight(spec, demand.kind)
         demand.queued += w
         if spec.shape == "standing":
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.demand import Runs
 from coursefold.coordination.ordering import LONG_S, Order, Ordering
 from coursefold.coordination.owner import Owner
-from coursefold.coordination.placement import Picker, Refused, Room
+from coursefold.coordination.placement import SLACK, Picker, Refused, Room
 from coursefold.coordination.quota import Quota
 from coursefold.coordination.urgency import Urgency
 from coursefold.protocol.ids import JobId
@@ -168,16 +168,28 @@
         # on spot machines would sit where a gang or replica could be, and be stopped.
         short = False
         floor = self._floor(rooms)
-        for wait in queue:
+        small = [wait for wait in queue if not wait.job.spec.gpus]
+        large = [wait for wait in queue if wait.job.spec.gpus]
+        for wait in large:
             if not wait.job.spec.spot:
                 short |= not self._serve(wait, rooms, floor, quota)
+        most = rooms
         if short:
             needed = self.ctx.market().needed
             rooms = [r for r in rooms if r.spot or r.kind.name not in needed]
             floor = self._floor(rooms)
-        for wait in queue:
+        for wait in large:
             if wait.job.spec.spot:
                 self._serve(wait, rooms, floor, quota)
+        if not small:
+            return
+        if large and short:
+            # What tasks with accelerators have left over, and nothing that they wait for.
+            scarce = {r.id for r in most if r.gpus > SLACK} - {r.id for r in rooms}
+            most = [r for r in most if r.id not in scarce]
+        floor = self._floor(most)
+        for wait in small:
+            self._serve(wait, most, floor, quota)
 
     def _floor(self, rooms: list[Room]) -> gangs.Floor:
         """Rooms for gangs; what is lent is lent to this leader, or to one before it."""
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -11,6 +11,7 @@
 WASTEFUL = 40.0  # the same for an ordinary machine of a type that others need
 UNUSUAL = 8.0  # and of a type that they would rather not use
 TOO_LATE = 20.0
+FENCED = 60.0  # seconds of waiting that a machine's free accelerators are worth to small work
 ALONE = 15.0  # seconds of fetching that it is worth not to pin another empty machine
 
 
@@ -137,8 +138,10 @@
         self.savings: dict[str, dict[str, float]] = {}
         self.needed: set[str] = set()
         self.cheapest: dict[str, str] = {}
+        self.accelerated = False  # does any class use accelerators?
         kinds = list(kinds)
         for spec in specs:
+            self.accelerated |= spec.gpus > 0
             prices = {k.name: k.price * share(spec, k) for k in kinds if fits_type(spec, k)}
             if not prices:
                 continue
@@ -196,6 +199,9 @@
     tight fit empties other machines, which can then be returned.
 
     All but the fetch is the same for machines of one type, and looked at once.
+
+    A task without accelerators takes what those with them leave over: where none is free
+    it costs nothing, and an empty machine, or one with free ones, is the last resort.
     """
 
     def __init__(self, spec: Job, market: Market = NO_MARKET, slack: float = inf) -> None:
@@ -216,6 +222,8 @@
 
     def __call__(self, room: Room) -> tuple[float, float, str]:
         kind = (room.kind.name, room.spot)
+        if not self.spec.gpus and room.kind.gpus:
+            return self._leftover(room)
         price = self.bases.get(kind)
         if price is None:
             price = self.bases[kind] = self._base(room.kind, room.spot)
@@ -226,6 +234,15 @@
             price += fetch + (TOO_LATE if fetch > self.slack else 0.0)
         return (price, room.left, room.id)
 
+    def _leftover(self, room: Room) -> tuple[float, float, str]:
+        price = 0.0
+        if room.gpus > SLACK:
+            price = FENCED * (1.0 + room.gpus / room.kind.gpus)
+            price += self.alone + (ALONE if room.tasks == 0 else 0.0)
+        if self.spec.image not in room.images:
+            price += fetch_time(self.spec, room)
+        return (price, room.left, room.id)
+
 
 def cost(
     spec: Job, room: Room, market: Market = NO_MARKET, slack: float = inf
