Small work is kept out only where it keeps tasks with accelerators out

Small tasks were kept off every machine with a free accelerator while any gang waited, though two CPUs beside a task of 14 are of use to nobody else. A room is kept only where fewer tasks of some class would fit beside one.

--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -183,7 +183,7 @@
         It fills what they leave over, so it neither counts as use of the machine nor asks
         for more of them, but for what finds no room at all.
         """
-        return not spec.gpus and kind.gpus > 0 and self.market.accelerated
+        return not spec.gpus and kind.gpus > 0 and bool(self.market.accelerated)
 
     def choices(self, spec: Job) -> list[PoolId]:
         """Pools that the job allows, cheapest first."""
--- a/coursefold/coordination/gangs.py
+++ b/coursefold/coordination/gangs.py
@@ -22,7 +22,14 @@
     With `Together` each zone is tried; the plan whose worst place is best wins, for
     a gang starts with its last task and runs as fast as its slowest machine.
     """
-    usable = [r for r in rooms if r.holds(spec) and not r.draining and allowed(spec, r)]
+    usable = [
+        r
+        for r in rooms
+        if r.holds(spec)
+        and not r.draining
+        and allowed(spec, r)
+        and not (r.kept and market.fences(spec, r))
+    ]
     zones = sorted({r.zone for r in usable}) if spec.together else [""]
     weigh = Weigher(spec, market, slack)
     costs = {r.id: weigh(r) for r in usable}
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.demand import Runs
 from coursefold.coordination.ordering import LONG_S, Order, Ordering
 from coursefold.coordination.owner import Owner
-from coursefold.coordination.placement import SLACK, Picker, Refused, Room
+from coursefold.coordination.placement import Picker, Refused, Room
 from coursefold.coordination.quota import Quota
 from coursefold.coordination.urgency import Urgency
 from coursefold.protocol.ids import JobId
@@ -183,10 +183,10 @@
                 self._serve(wait, rooms, floor, quota)
         if not small:
             return
-        if large and short:
-            # What tasks with accelerators have left over, and nothing that they wait for.
-            scarce = {r.id for r in most if r.gpus > SLACK} - {r.id for r in rooms}
-            most = [r for r in most if r.id not in scarce]
+        if self.short:
+            # What tasks with accelerators leave over, and nothing that they wait for.
+            for room in most:
+                room.kept = True
         floor = self._floor(most)
         for wait in small:
             self._serve(wait, most, floor, quota)
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -26,6 +26,7 @@
         "id",
         "idle_since",
         "images",
+        "kept",
         "kind",
         "lent",
         "memory",
@@ -57,6 +58,7 @@
         self.tasks = len(load.specs)
         self.lent = False
         self.draining = False
+        self.kept = False  # tasks with accelerators wait for it
         self.idle_since = 0.0
 
     def holds(self, spec: Job) -> bool:
@@ -125,6 +127,19 @@
     return 1.0 / max(1, int(1.0 / largest + SLACK))
 
 
+def places(spec: Job, room: Room, beside: Job | None = None) -> int:
+    """How many tasks of a job fit into what is free, after one of another."""
+    cpus, gpus, memory = room.cpus, room.gpus, room.memory
+    if beside is not None:
+        cpus, gpus, memory = cpus - beside.cpus, gpus - beside.gpus, memory - beside.memory
+    ratios = [
+        free / taken
+        for free, taken in ((cpus, spec.cpus), (gpus, spec.gpus), (memory, spec.memory))
+        if taken
+    ]
+    return max(0, int(min(ratios, default=0.0) + SLACK))
+
+
 class Market:
     """Which machine types are worth more to other classes than to this one.
 
@@ -138,10 +153,11 @@
         self.savings: dict[str, dict[str, float]] = {}
         self.needed: set[str] = set()
         self.cheapest: dict[str, str] = {}
-        self.accelerated = False  # does any class use accelerators?
+        specs = list(specs)
+        self.accelerated = [spec for spec in specs if spec.gpus]
+        self._fences: dict[tuple[object, ...], bool] = {}
         kinds = list(kinds)
         for spec in specs:
-            self.accelerated |= spec.gpus > 0
             prices = {k.name: k.price * share(spec, k) for k in kinds if fits_type(spec, k)}
             if not prices:
                 continue
@@ -159,6 +175,25 @@
         cheapest = self.cheapest.get(spec.lane)
         return cheapest if any(kind != cheapest for kind in self.savings) else None
 
+    def fences(self, spec: Job, room: Room) -> bool:
+        """Would a task without accelerators take from a room what those with them could use?
+
+        It does if fewer tasks of some class would fit beside it than before. Rooms are alike
+        by the hundred, so what was found for one holds for the others.
+        """
+        if room.gpus <= SLACK or not self.accelerated:
+            return False
+        free = (round(room.cpus, 3), round(room.gpus, 3), round(room.memory, 3))
+        key = (spec.cpus, spec.memory, room.kind.name, room.spot, room.zone, *free)
+        found = self._fences.get(key)
+        if found is None:
+            found = self._fences[key] = any(
+                places(other, room) > places(other, room, spec)
+                for other in self.accelerated
+                if allowed(other, room)
+            )
+        return found
+
     def displaced(self, spec: Job, kind: MachineType) -> float:
         """What a task there costs others, per hour."""
         worth = self.savings.get(kind.name)
@@ -200,8 +235,8 @@
 
     All but the fetch is the same for machines of one type, and looked at once.
 
-    A task without accelerators takes what those with them leave over: where none is free
-    it costs nothing, and an empty machine, or one with free ones, is the last resort.
+    A task without accelerators takes what those with them leave over: where it keeps none
+    of them out it costs nothing but the fetch. Where it does is the last resort.
     """
 
     def __init__(self, spec: Job, market: Market = NO_MARKET, slack: float = inf) -> None:
@@ -235,10 +270,9 @@
         return (price, room.left, room.id)
 
     def _leftover(self, room: Room) -> tuple[float, float, str]:
-        price = 0.0
-        if room.gpus > SLACK:
-            price = FENCED * (1.0 + room.gpus / room.kind.gpus)
-            price += self.alone + (ALONE if room.tasks == 0 else 0.0)
+        price = ALONE if room.tasks == 0 else 0.0  # it could be returned
+        if self.market.fences(self.spec, room):
+            price += FENCED * (1.0 + room.gpus / room.kind.gpus)
         if self.spec.image not in room.images:
             price += fetch_time(self.spec, room)
         return (price, room.left, room.id)
@@ -289,6 +323,7 @@
             and (builds is None or room.kind.name in builds)
             and (not site or site == room.zone)
             and (not zone or zone == room.zone)
+            and not (room.kept and market.fences(spec, room))
         ]
         heapify(self.heap)
 
@@ -312,7 +347,7 @@
             return None
         room.take(self.spec)
         self.zones[room.zone] = self.zones.get(room.zone, 0) + 1
-        if room.holds(self.spec):
+        if room.holds(self.spec) and not (room.kept and self.weigh.market.fences(self.spec, room)):
             shunned = self.heap[0][0][0]
             heapreplace(self.heap, ((shunned, *self.weigh(room)), room))
         else:
