--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -52,11 +52,24 @@
     assert load(file).params.workers.lease_s == 10.0
 
 
+def test_later_limits_are_the_smaller_ones(tmp_path: Path) -> None:
+    file = tmp_path / "next.toml"
+    state = "txn_ops = 16\nnext = { txn_ops = 5, value_kb = 64.0, later = 1 }"
+    file.write_text(GOOD.replace("txn_ops = 16", state))
+    later = load(file).params.state.later()
+    assert (later.txn_ops, later.value_kb, later.write_rps) == (5, 8.0, 20.0)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "field"),
     [
         ("lease_s = 10.0", "lease_s = -1.0", "params.workers.lease_s"),
         ("lease_s = 10.0", "lease_s = nan", "params.workers.lease_s"),
+        ("txn_ops = 16", "txn_ops = 16\nnext.txn_ops = 1", "params.state.next.txn_ops"),
+        ("txn_ops = 16", "txn_ops = 16\nnext.value_kb = 0.0", "params.state.next.value_kb"),
+        ("txn_ops = 16", "txn_ops = 16\nnext.value_kb = 0.1", "params.state.next.value_kb"),
+        ("txn_ops = 16", "txn_ops = 16\nnext.write_rps = -1.0", "params.state.next.write_rps"),
+        ("txn_ops = 16", 'txn_ops = 16\nnext = "soon"', "params.state.next"),
         ("lease_s = 10.0", "lease_s = 1.0", "params.workers.lease_s"),
         ('zone = "a"\nlisten', 'zone = "q"\nlisten', "zone"),
         ('state = "127.0.0.1:2"', "", "services"),
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -251,6 +251,32 @@
         return view
 
 
+def test_the_rate_falls_at_the_first_refusal_after_the_switch() -> None:
+    """Before it, a burst of our own is the likelier cause; the lower one is a quarter less."""
+    lowered = Lowered(0)
+    lowered.queue.slower()
+    assert lowered.queue.limits.write_rps == 1000
+    lowered.view.keep(records.LEVEL, Level(1), 1)
+    lowered.queue.share(True, 5)
+    assert lowered.queue.limits == Limits(5, 2048, 1000)
+    before = lowered.queue.budget.rate
+    lowered.queue.slower()
+    lowered.queue.share(True, 5)
+    assert lowered.queue.limits == Limits(5, 2048, 15.0)
+    assert lowered.queue.budget.rate < before / 50 and lowered.queue.first.rate == 7.5
+
+
+def test_what_is_beyond_every_limit_is_not_tried_for_ever() -> None:
+    """A refusal that the lower limits do not explain is final, and starves nobody."""
+    lowered = Lowered(1)
+    lowered.store.txn_ops, lowered.store.value_bytes = 5, 100
+    said: list[str] = []
+    key = records.job_key(JobId("job-1"))
+    lowered.queue.propose(Edit(key, edits.accept(SPEC, 0.0), done=lambda _, why: said.append(why)))
+    assert lowered.run() == 1
+    assert said == ["refused"] and not lowered.queue.waiting
+
+
 def gang_of(count: int) -> JobRecord:
     entries = [
         Entry(i, records.PLACED, 1, f"worker-{i % 3}", "a", f"i-{i * 37 % 9973:06d}", 1)
