Who hears nobody takes nobody for gone

Each controller took the others for out of reach, and the roster changed hands 44 times in ten seconds. Not hearing one counts only beside another that is heard.

--- a/coursefold/coordination/election.py
+++ b/coursefold/coordination/election.py
@@ -53,17 +53,28 @@
                     found.add(owner)
         return found
 
+    def _hears(self, member: str) -> bool:
+        peer = self.ctx.peers.get(member)
+        return peer is not None and self.ctx.now - peer.at <= UNREACHABLE_S
+
     def _blamed(self) -> set[str]:
-        """Members that workers cannot reach and that siblings do not hear."""
+        """Members that workers cannot reach and that siblings do not hear.
+
+        Not hearing one means nothing where we hear nobody. Seen: siblings refused each
+        other just after one was cut off, each took the others for gone, and the roster
+        changed hands four times a second for as long as that lasted.
+        """
         ctx = self.ctx
+        others = [name for name in ctx.view.members if name != ctx.me]
+        if len(others) > 1 and not any(self._hears(name) for name in others):
+            return set()
         blamed = self.complaints()
         for peer in ctx.peers.values():
             if ctx.now - peer.at < 3.0:
                 blamed |= peer.complaints
         quiet = set()
         for name in sorted(blamed):
-            heard = ctx.peers.get(name)
-            if name != ctx.me and (heard is None or ctx.now - heard.at > UNREACHABLE_S):
+            if name != ctx.me and not self._hears(name):
                 quiet.add(name)
         if ctx.started is None or ctx.now - ctx.started < UNREACHABLE_S + 1.0:
             return set()
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -67,3 +67,23 @@
     world.run(world.now + 0.5)
     roster = world.core.view.roster
     assert roster is not None and [m.name for m in roster.members] == ["n0", "n2"]
+
+
+def test_who_hears_nobody_takes_nobody_for_gone() -> None:
+    """Siblings refuse each other; workers of a member that was cut off before still knock."""
+    world = World()
+    for member, zone in (("n1", "b"), ("n2", "a")):
+        world.join(member, zone)
+    world.run(6.0)
+    token = world.core.view.token
+    knocking = (f"i-{n}" for n in range(9))
+    for machine in knocking:
+        for _ in range(3):
+            world.report(machine, [], Site="b")
+            world.run(world.now + 0.6)
+    assert "n1" in world.core.election.complaints()
+    assert world.core.view.token == token
+    world.peer(world.peer_frame("n2", 0.2))  # one that we hear is a witness
+    world.run(world.now + 1.0)
+    roster = world.core.view.roster
+    assert roster is not None and [m.name for m in roster.members] == ["n0", "n2"]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -164,14 +164,14 @@
     small = {"Vcpus": 1.0, "Accelerators": 0.0, "MemoryGb": 2.0, "Rank": "idle", "Owner": "red"}
     cancelled = rng.choice(names) if rng.random() < 0.3 else ""
 
-    if earlier and fleet.jobs[earlier].body["Shape"] == "standing":
+    if earlier not in fleet.jobs or fleet.jobs[earlier].body["Shape"] == "standing":
         earlier = None
 
     def one(name: str, needs: list[str], **fields: Any) -> None:
         at = rng.uniform(0.0, 30.0) if name == cancelled else None
         fleet.submit(name, rng.uniform(2.0, 8.0), at, **(small | fields), Prereqs=needs)
 
-    one(first, [earlier] if earlier else [])
+    one(first, [earlier] if earlier is not None else [])
     for name in fan:
         one(name, [first], Pieces=rng.randrange(1, 20), Loaners=True)
     one(gang, fan, Shape="ensemble", Pieces=3, Together=True, Vcpus=2.0)
