--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -301,10 +301,12 @@
         ready = [k for k in self.waiting if k not in self.flying and k not in self.stale]
         if not ready:
             return None
-        ranks = {k: min(e.rank for e in self.waiting[k]) for k in ready}
-        ready.sort(key=ranks.__getitem__)
         bulk = int(self.budget.fill(now))
         urgent = max(bulk, int(self.first.fill(now)))
+        if urgent < 1:
+            return None  # before a long backlog is sorted for nothing
+        ranks = {k: min(e.rank for e in self.waiting[k]) for k in ready}
+        ready.sort(key=ranks.__getitem__)
         fence: int | None = None
         guards: dict[str, int] = {}
         then: list[dict[str, Any]] = []
