--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -408,17 +408,28 @@
 
 
 def test_small_work_takes_what_is_left_over() -> None:
-    """A machine without a free accelerator, then one that is used, then an empty one."""
-    rooms = []
-    for name, tasks in (("i-empty", 0), ("i-half", 1), ("i-full", 2)):
-        load = Load([msgspec.structs.replace(BUSY, cpus=7.9)] * tasks)
-        rooms.append(Room(name, KIND, "a", False, "n0", 1, load))
-    picker = Picker(SMALL, rooms, market=Market([KIND], [BUSY]))
-    found = [room.id for _ in range(16) if (room := picker.take()) is not None]
-    assert found == ["i-half"] * 8 + ["i-empty"] * 8  # the full one has 0.2 CPUs left
-    rooms[2].cpus = 2.0
-    room = Picker(SMALL, rooms).take()
-    assert room is not None and room.id == "i-full"
+    """Where nobody else could use it, however much that is; then beside others."""
+    tight = msgspec.structs.replace(BUSY, cpus=9.0)  # beside it, another of 6 CPUs fits
+    wide = msgspec.structs.replace(BUSY, cpus=2.0, gpus=2.0)
+    rooms = [
+        Room("i-empty", KIND, "a", False, "n0", 1),
+        Room("i-half", KIND, "a", False, "n0", 1, Load([tight])),
+        Room("i-full", KIND, "a", False, "n0", 1, Load([wide])),
+    ]
+    other = msgspec.structs.replace(BUSY, cpus=6.0)
+    small = msgspec.structs.replace(SMALL, cpus=2.0)
+    picker = Picker(small, rooms, market=Market([KIND], [other]))
+    found = [room.id for _ in range(18) if (room := picker.take()) is not None]
+    # Two tasks of 6 CPUs fit the empty machine beside 4 CPUs of small work, and no more.
+    assert found == ["i-full"] * 7 + ["i-empty"] * 2 + ["i-half"] * 3 + ["i-empty"] * 6
+
+
+def test_small_work_stops_nothing_that_has_an_accelerator() -> None:
+    may = core.Core(World().core.ctx.settings).leader.preemption.may
+    victim = JobRecord(msgspec.structs.replace(BUSY, rank="idle"), 0.0)
+    for spec, allowed in ((SMALL, False), (BUSY, True)):
+        urgent = msgspec.structs.replace(spec, rank="urgent")
+        assert may(urgent, 1, False, JobId("job-9"), victim, None, 99.0) is allowed
 
 
 def test_small_work_neither_sizes_a_fleet_nor_keeps_it() -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -297,6 +297,13 @@
     lowered.queue.propose(Edit(key, edits.accept(SPEC, 0.0), done=lambda _, why: said.append(why)))
     assert lowered.run() == 1
     assert said == ["refused"] and not lowered.queue.waiting
+    # Nor one that no form makes small enough: formed under the lower limits, it is final.
+    lowered = Lowered(0)
+    lowered.store.value_bytes = 2048
+    many = Roster("n0", [MemberRecord(f"n{n}", n, "a") for n in range(300)])
+    lowered.queue.propose(Edit("cf/roster", lambda _: many, done=lambda _, why: said.append(why)))
+    assert lowered.run() == 2
+    assert said == ["refused", "refused"]
 
 
 def gang_of(count: int) -> JobRecord:
