--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -4,12 +4,15 @@
 Every mixed day plays the protocol's rules at every step, as `test_fleet.py` does.
 """
 
+import json
 from typing import Any
 
 import msgspec
 import pytest
 
 from coursefold.coordination import jobs as edits
+from coursefold.coordination import summary
+from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, Moment
 from coursefold.protocol.wire import Job, decode, encode
 from coursefold.storage import records
@@ -18,7 +21,7 @@
 from coursefold.storage.view import View
 from tests import test_fleet as days
 from tests.fleet import NODES, Broken, Fleet
-from tests.production import OURS, Version, production
+from tests.production import OURS, ROOT, Version, commit, production
 from tests.world import JOB, World
 
 SPEC = decode(encode(JOB | {"NameId": "job-1", "Pieces": 4}), Job)
@@ -48,6 +51,44 @@
         assert records.parse(key, old.records.dump(theirs)) == record
 
 
+def test_kept_bytes_of_production_are_read() -> None:
+    """Written by running it: records as they stood after half a minute, and siblings' frames."""
+    kept = json.loads((ROOT / "tests" / "kept" / "production.json").read_text())
+    assert kept["version"] == commit()
+    for key, value in kept["records"].items():
+        record = records.parse(key, value)
+        assert record is not None
+        ours = records.dump(record, 0)
+        # What we leave out at the end is what production takes for granted.
+        assert value[: len(ours)] == ours if isinstance(value, list) else value == ours
+        assert not isinstance(value, list) or not any(value[len(ours) :])
+    world = World()
+    asked = 0
+    for at, (sender, _, text) in enumerate(kept["frames"], 1):
+        envelope = peer_pb2.Envelope.FromString(bytes.fromhex(text))
+        assert (envelope.version, envelope.sender) == (summary.VERSION, sender)
+        assert envelope.summary.full or envelope.proposals or envelope.outcomes
+        # As the first frame of a connection made now; what it says is production's own.
+        envelope.sender, envelope.sent_at = "n1", world.core.ctx.wall
+        envelope.link, envelope.seq, envelope.summary.full = float(at), 1, True
+        assert world.core.peer(envelope.SerializeToString())
+        asked += len(envelope.proposals)
+    assert asked and len(world.core.tellers["n1"].outcomes) == asked
+
+
+def test_production_answers_what_it_does_not_know(old: Version) -> None:
+    """A kind of proposal that it has never heard of gets an outcome, and changes nothing."""
+    fleet = Fleet(1, 20, old)
+    fleet.run(4.0)
+    (leader,) = [n for n in fleet.nodes if n.core.ctx.leading()]
+    sibling = next(n.name for n in fleet.nodes if n is not leader)
+    before = fleet.store.ledger
+    strange = peer_pb2.Proposal(id=7, token=leader.core.view.token, job="job-1", kind="orphan")
+    leader.core.forwarding.proposals(sibling, [strange])
+    assert [(o.id, o.ok) for o in leader.core.tellers[sibling].outcomes][-1] == (7, False)
+    assert fleet.store.ledger == before
+
+
 def test_production_takes_no_harm_from_keys_it_does_not_know(old: Version) -> None:
     view = old.view.View()
     view.put(records.version_key("n0"), records.dump(records.Version(1, 7)), 3)
