--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -219,7 +220,13 @@
     one(last, [first, gang], Rank="urgent", DueS=90.0)
 
 
-def mixed(seed: int, old: Version, limits_at: float, every: float) -> Fleet:
+def mixed(
+    seed: int,
+    old: Version,
+    limits_at: float,
+    every: float,
+    meanwhile: Callable[[Fleet], None] | None = None,
+) -> Fleet:
     teams = [{**t} for t in days.TEAMS]
     fleet = Fleet(seed, days.MACHINES, old, teams=teams, state=STATE)
     fleet.lost_commits, fleet.copied = 0.02, 0.03
@@ -228,6 +235,8 @@
     for _ in range(7):
         trouble = fleet.rng.choice(days.TROUBLES)
         fleet.after(fleet.rng.uniform(8.0, 66.0), lambda t=trouble: t(fleet))  # type: ignore[misc]
+    if meanwhile is not None:
+        fleet.after(limits_at - 1.0, lambda: meanwhile(fleet))
     fleet.after(limits_at, lambda: lower(fleet))
     fleet.after(days.CALM, lambda: days.calm(fleet))
     for number in range(24):
@@ -254,6 +263,14 @@
     assert sum(j.told == "cancelled" and bool(j.needs) for j in fleet.jobs.values()) > 3
 
 
+@pytest.mark.parametrize("meanwhile", [days.outage, days.all_down])
+def test_limits_fall_while_nobody_can_see_it(
+    meanwhile: Callable[[Fleet], None], old: Version
+) -> None:
+    """In an outage, and in the election after all controllers ended in one."""
+    days.nothing_lost(mixed(7, old, 55.0, 6.0, meanwhile))
+
+
 # Lower limits
 
 
