--- a/coursefold/__init__.py
+++ b/coursefold/__init__.py
@@ -1,3 +1,3 @@
 """coursefold: a cluster scheduler with a queue-sized fleet."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/coursefold/cli.py
+++ b/coursefold/cli.py
@@ -112,19 +112,51 @@
     if "done" in answer:
         line += f", {answer['done']} done, {answer['running']} running"
     click.echo(line)
+    if answer.get("why"):
+        click.echo(f"  {answer['why']}")
+
+
+@main.command()
+@node_option
+def status(node: str) -> None:
+    """Show a controller's version, who leads, and which controllers run older versions."""
+    from coursefold.client import Refused, condition
+
+    try:
+        answer = condition(node)
+    except Refused as wrong:
+        _fail(wrong, 1)
+    click.echo(f"{node}: {'healthy' if answer.get('ok') else 'not healthy'}")
+    if "version" not in answer:
+        click.echo("  version 0.1, which does not say more")
+        return
+    click.echo(f"  version {answer['version']}")
+    click.echo(f"  leader {answer['leader'] or 'unknown'}, members {', '.join(answer['members'])}")
+    if answer["switched"]:
+        click.echo("  every controller has this version; an older one can not come back")
+    elif answer["older"] is not None:
+        older = ", ".join(answer["older"]) or "none"
+        click.echo(f"  without this version: {older}; jobs with prerequisites have to wait")
 
 
 @main.command()
 @click.argument("description", type=file_argument)
 @node_option
-def submit(description: Path, node: str) -> None:
-    """Submit the job described in a TOML or JSON file (fields as on the wire)."""
+@click.option("--needs", multiple=True, metavar="JOB", help="A job that has to be done before.")
+def submit(description: Path, node: str, needs: tuple[str, ...]) -> None:
+    """Submit the job described in a TOML or JSON file (fields as on the wire).
+
+    With `--needs`, named once for each job, it starts when those are done; a job that is
+    named has to be accepted before.
+    """
     from coursefold.client import BadDescription, read_description
 
     try:
         body = read_description(description)
     except BadDescription as wrong:
         _fail(wrong, 2)
+    if needs:
+        body["Prereqs"] = [*(body.get("Prereqs") or []), *needs]
     _show(_ask(node, "POST", "/work", body))
 
 
@@ -150,8 +182,9 @@
 def explain(job: str, node: str) -> None:
     """Say why a job waits, in plain words."""
     answer = _ask(node, "GET", f"/work/{job}")
-    _show(answer)
-    if answer.get("reason"):
-        click.echo(f"  {answer['reason']}")
+    _show({key: value for key, value in answer.items() if key != "why"})
+    why = answer.get("why") or answer.get("reason")  # the latter from version 0.1
+    if why:
+        click.echo(f"  {why}")
     elif answer.get("Status") == "pending":
         click.echo("  it is about to be placed")
--- a/coursefold/client.py
+++ b/coursefold/client.py
@@ -36,9 +36,23 @@
     return body
 
 
+def condition(node: str) -> dict[str, Any]:
+    """What a controller says of itself, well or not."""
+    return _fetch(node, "GET", "/healthz")[1]
+
+
 def ask(node: str, method: str, path: str, body: dict[str, Any] | None = None) -> dict[str, Any]:
     """The answer of a successful request."""
+    status, answer = _fetch(node, method, path, body)
+    if status not in (200, 201):
+        why = answer.get("error") or "no reason given"
+        raise Refused(f"{status}: {why}")
+    return answer
 
+
+def _fetch(
+    node: str, method: str, path: str, body: dict[str, Any] | None = None
+) -> tuple[int, dict[str, Any]]:
     async def once() -> tuple[int, bytes]:
         payload = None if body is None else encode(body)
         return await HttpClient(node, 1).fetch(method, path, payload, TIMEOUT_S)
@@ -51,9 +65,4 @@
         answer = msgspec.msgpack.decode(raw)
     except msgspec.MsgspecError:
         answer = {}
-    if not isinstance(answer, dict):
-        answer = {}
-    if status not in (200, 201):
-        why = answer.get("error") or "no reason given"
-        raise Refused(f"{status}: {why}")
-    return answer
+    return status, answer if isinstance(answer, dict) else {}
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -6,10 +6,12 @@
 """
 
 import logging
+from itertools import islice
 from typing import Any
 
 import msgspec
 
+from coursefold import __version__
 from coursefold.coordination import jobs, summary
 from coursefold.coordination.context import Context
 from coursefold.coordination.effects import Answer, Effect, Read, Tell, Vouch
@@ -20,12 +22,13 @@
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import fits_type
 from coursefold.coordination.quota import limit_fits
+from coursefold.coordination.upgrade import Upgrade
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, Moment, WallTime, is_job_id
 from coursefold.protocol.wire import Job, Malformed, decode_job, decode_report
 from coursefold.settings import Settings
 from coursefold.storage import records
-from coursefold.storage.queue import FIRST, LATER, CommitQueue, Edit
+from coursefold.storage.queue import FIRST, LATER, CommitQueue, Edit, Limits
 from coursefold.storage.records import Ending, JobRecord, job_key
 from coursefold.storage.view import View
 
@@ -35,6 +38,9 @@
 SWEEP = 8  # endings moved together
 BUILDS = 8
 ASKING = 2000  # questions that may wait at once
+RESOLVE_S = 1.0
+RESOLVING = 4  # endings read at once for the sake of jobs that need them
+NAMED = 5  # jobs told in a reason
 
 
 class Core:
@@ -43,11 +49,19 @@
     def __init__(self, settings: Settings, policy: Policy | None = None) -> None:
         state = settings.params.state
         self.view = View()
+        later = state.later()
         self.queue = CommitQueue(
-            self.view, txn_ops=state.txn_ops, value_kb=state.value_kb, write_rps=state.write_rps
+            self.view,
+            txn_ops=state.txn_ops,
+            value_kb=state.value_kb,
+            write_rps=state.write_rps,
+            later=Limits(later.txn_ops, int(later.value_kb * 1024), later.write_rps)
+            if state.next
+            else None,
         )
         self.ctx = Context(settings, self.view, self.queue, policy)
-        self.election = Election(self.ctx)
+        self.upgrade = Upgrade(self.ctx)
+        self.election = Election(self.ctx, self.upgrade)
         rows = summary.Rows(self.ctx)
         self.tellers = {
             s.member: summary.Teller(self.ctx, rows, s.member) for s in settings.siblings
@@ -59,11 +73,14 @@
         self.asking: dict[int, tuple[str, str, Job | None]] = {}
         self.questions: list[int] = []
         self.was_leading = False
+        self.resolved_at = -1e9
+        self.resolving = 0
 
     def at(self, now: Moment, wall: WallTime) -> None:
         """Set the time of the inputs that follow."""
         ctx = self.ctx
         ctx.now, ctx.wall = now, wall
+        self.queue.wall = wall
         if ctx.started is None:
             ctx.started = now
         if ctx.token_seen != self.view.token:
@@ -87,7 +104,9 @@
         roster = self.view.roster
         self.queue.share(ctx.leading(), len(roster.members) if roster else 1)
         self.forwarding.tick()
+        self.upgrade.tick()
         self.election.tick()
+        self._resolve()
         self.owner.tick()
         self.leader.tick()
         self.fleet.tick()
@@ -103,11 +122,26 @@
         unswept = self.view.unswept
         if len(unswept) < SWEEP or not ctx.leading() or not self.queue.idle(ctx.now):
             return
-        for name in list(unswept)[:SWEEP]:
+        # An ending that a live job names stays where starting nodes read it.
+        named = self.view.needs.named
+        for name in list(islice((n for n in unswept if not named(n)), SWEEP)):
             self.queue.propose(
                 Edit(job_key(name), jobs.sweep(), rank=LATER, fence=self.view.token, tag="sweep")
             )
 
+    def _resolve(self) -> None:
+        """Read the endings of jobs that others need and that we do not hold.
+
+        They moved away just when the job that names them was accepted.
+        """
+        if self.ctx.now - self.resolved_at < RESOLVE_S or not self.view.loaded:
+            return
+        self.resolved_at = self.ctx.now
+        for need in self.view.unresolved()[:RESOLVING]:
+            self.resolving -= 1  # tickets of our own are negative
+            self.asking[self.resolving] = ("resolve", need, None)
+            self.ctx.out.append(Read(self.resolving, need))
+
     def linked(self, member: str) -> None:
         """A new connection to a sibling."""
         self.tellers[member].begin()
@@ -150,6 +184,18 @@
         """Can this node take requests?"""
         return self.view.loaded and not self.state_silent() and self.view.catalog is not None
 
+    def condition(self) -> dict[str, Any]:
+        """What an operator asks of one node: is it well, and who has which version?"""
+        roster = self.view.roster
+        return {
+            "ok": self.healthy(),
+            "version": __version__,
+            "leader": roster.leader if roster else None,
+            "members": [m.name for m in roster.members] if roster else [],
+            "switched": self.view.level >= records.OURS,
+            "older": self.upgrade.waits_for() if self.view.loaded else None,
+        }
+
     def state_silent(self) -> bool:
         return self.ctx.now - self.ctx.state_ok_at > STATE_SILENCE_S
 
@@ -170,16 +216,55 @@
         if self.view.catalog is None:
             self._later(ticket, "machine types are not known yet", 1)
             return
-        if len(self.queue.waiting) > 2 * self.ctx.settings.params.state.write_rps:
+        if len(self.queue.waiting) > 2 * self.queue.limits.write_rps:
             self._later(ticket, "too many changes are waiting", 3)
             return
+        if len(self.asking) > ASKING:
+            self._later(ticket, "too many requests", 2)
+            return
+        if spec.prereqs and self.view.level < records.OURS:
+            # An older version would take the job and lose what it needs.
+            self._later(ticket, "not every controller knows prerequisites yet", 2)
+            return
         name = JobId(spec.name)
         if name in self.view.jobs or name in self.view.endings or self._never(spec):
             # Also for what can never run: an id that is known gets its state.
             self._ask(ticket, "submit", spec.name, spec)
             return
+        self._admit(spec, ticket)
+
+    def _admit(self, spec: Job, ticket: int, vouched: bool = False) -> None:
+        """Accept a job if all that it needs was accepted; 422 only on proof that it was not.
+
+        The proof: the view is as new as the question, the job it names is not among the
+        live ones, nor among the ended ones as read after that.
+        """
+        view = self.view
+        for need in map(JobId, spec.prereqs or ()):
+            if view.fate(need) is not None:
+                continue
+            if not vouched:
+                # It may have been accepted at another node a moment ago.
+                self._ask(ticket, "submit", spec.name, spec)
+            elif need == spec.name:
+                self._reject(ticket, spec, f"needs {need}, which is itself")
+            elif self._unclear(need):
+                self._later(ticket, f"the record of {need} can not be read")
+            else:
+                self.asking[ticket] = ("need", need, spec)
+                self.ctx.out.append(Read(ticket, need))
+            return
         self._accept(spec, ticket)
 
+    def _reject(self, ticket: int, spec: Job, why: str) -> None:
+        log.info("refuse %s: %s", spec.name, why)
+        self.ctx.out.append(Answer(ticket, 422, {"error": why}))
+
+    def _unclear(self, job: JobId) -> bool:
+        """Is there a record of the job that we can not read, or not yet?"""
+        key = job_key(job)
+        return key in self.view.unreadable or self.view.incomplete(key)
+
     def _accept(self, spec: Job, ticket: int) -> None:
         def settled(ok: bool, why: str) -> None:
             if ok:
@@ -187,6 +272,10 @@
                     "accept %s: %d tasks of %s for %s", spec.name, spec.tasks, spec.lane, spec.team
                 )
                 self.ctx.out.append(Answer(ticket, 201, {"NameId": spec.name, "Status": "pending"}))
+            elif why == "too large" and self.queue.later and not self.view.level:
+                self._later(ticket, "no room for so long a description before the upgrade", 5)
+            elif why == "unreadable":
+                self._later(ticket, "the job's record can not be read", 5)
             elif why in ("too large", "refused"):
                 self.ctx.out.append(Answer(ticket, 400, {"error": "description too large"}))
             else:
@@ -197,7 +286,13 @@
             # A record has room for a job's description, not for any number of unknown types.
             known = [k.name for k in catalog.builds if k.name in spec.builds]
             spec = msgspec.structs.replace(spec, builds=known)
-        change = jobs.accept(spec, self.ctx.wall)
+        fates = {need: self.view.fate(JobId(need)) for need in spec.prereqs or ()}
+        change = jobs.accept(
+            spec,
+            self.ctx.wall,
+            [need for need, fate in fates.items() if fate != records.DONE],
+            records.CANCELLED in fates.values(),
+        )
         self.queue.propose(Edit(job_key(JobId(spec.name)), change, rank=FIRST, done=settled))
 
     def _never(self, spec: Job) -> str:
@@ -241,6 +336,9 @@
                 found = held.record  # ended and not moved yet, however long ago
             if found is not None:
                 self.read(ticket, found)
+            elif self._unclear(job):
+                self.asking.pop(ticket, None)
+                self._later(ticket, "the job's record can not be read")
             else:
                 self.ctx.out.append(Read(ticket, job))  # ended long ago, or unknown
 
@@ -282,7 +380,7 @@
 
     def read_failed(self, ticket: int) -> None:
         """The state service could not be asked."""
-        if self.asking.pop(ticket, None) is not None:
+        if self.asking.pop(ticket, None) is not None and ticket >= 0:
             self._later(ticket, "no state service", 1)
 
     def read(self, ticket: int, found: JobRecord | Ending | None) -> None:
@@ -291,6 +389,14 @@
         if asked is None:
             return
         what, name, spec = asked
+        if what in ("need", "resolve"):
+            if isinstance(found, Ending):
+                self.view.remember(records.ending_key(JobId(name)), found)
+                if spec is not None:
+                    self._admit(spec, ticket, vouched=True)
+            elif spec is not None:
+                self._reject(ticket, spec, f"needs {name}, which was never accepted")
+            return
         if found is None:
             self._unknown(ticket, what, spec)
             return
@@ -304,10 +410,14 @@
             }
             self.ctx.out.append(Answer(ticket, 200, body))
             return
+        if self._undecided(JobId(name), found):
+            self._later(ticket, "what the job needs has to be read first")
+            return
         if what == "cancel" and found.status == records.LIVE:
             self._cancel(name, ticket)
             return
-        if what == "over" and found.status == records.LIVE:
+        doomed = self.view.needs.is_doomed(JobId(name))
+        if what == "over" and found.status == records.LIVE and not doomed:
             self._later(ticket, "conflicting changes")
             return
         self.ctx.out.append(Answer(ticket, 200, self.describe(name, found)))
@@ -316,10 +426,9 @@
         if what == "submit" and spec is not None:
             never = self._never(spec)
             if never:
-                log.info("refuse %s: %s", spec.name, never)
-                self.ctx.out.append(Answer(ticket, 422, {"error": never}))
+                self._reject(ticket, spec, never)
             else:
-                self._accept(spec, ticket)
+                self._admit(spec, ticket, vouched=True)
         elif what == "submit":
             self._later(ticket, "not accepted yet")
         else:
@@ -331,6 +440,9 @@
         status = records.STATUS[job.status]
         if job.status == records.LIVE and running:
             status = "running"
+        if self.view.needs.is_doomed(JobId(name)):
+            # It follows from what it needs; its own ending is written when there is time.
+            status = records.STATUS[records.CANCELLED]
         body: dict[str, Any] = {
             "NameId": name,
             "Status": status,
@@ -338,13 +450,26 @@
             "running": running if job.status == records.LIVE else 0,
         }
         reason = self._reason(name)
-        if reason and job.status == records.LIVE and job.waiting_count > 0:
-            body["reason"] = reason
+        if reason and status in ("pending", "running") and job.waiting_count > 0:
+            body["why"] = reason
         return body
 
+    def _undecided(self, name: JobId, found: JobRecord) -> bool:
+        """Needs the job one that has ended, and we do not know how?
+
+        If it was cancelled, another node may have said so of this one too.
+        """
+        if found.status != records.LIVE:
+            return False
+        return any(self.view.fate(n) is None for n in self.view.needs.left.get(name, ()))
+
     def _reason(self, name: str) -> str:
-        """Why the job waits, by the leader's word."""
+        """Why the job waits: for other jobs by its record, else by the leader's word."""
         ctx = self.ctx
+        left = self.view.needs.left.get(JobId(name))
+        if left:
+            more = f" and {len(left) - NAMED} more" if len(left) > NAMED else ""
+            return f"waiting for {', '.join(islice(left, NAMED))}{more} to be done"
         if ctx.leading():
             return self.leader.reasons.get(JobId(name), "")
         roster = self.view.roster
--- a/coursefold/coordination/election.py
+++ b/coursefold/coordination/election.py
@@ -13,6 +13,7 @@
 
 from coursefold.coordination.context import Context
 from coursefold.coordination.parts import weight
+from coursefold.coordination.upgrade import Upgrade
 from coursefold.storage import records
 from coursefold.storage.queue import FIRST, Change, Edit, Result, Void
 from coursefold.storage.records import MemberRecord, Roster
@@ -26,8 +27,8 @@
 class Election:
     """Keeps our member key, leads or takes over."""
 
-    def __init__(self, ctx: Context) -> None:
-        self.ctx = ctx
+    def __init__(self, ctx: Context, upgrade: Upgrade) -> None:
+        self.ctx, self.upgrade = ctx, upgrade
         self.leaderless_since: float | None = None
         self.knocks: dict[str, dict[str, list[float]]] = {}
         self.evicted: dict[str, float] = {}
@@ -76,6 +77,8 @@
         if mine is None or mine.permit != ctx.permit:
             self._join()
             return
+        if not self.upgrade.speaks(ctx.me):
+            return  # what we wrote of our version is on its way
         roster = ctx.view.roster
         live = ctx.view.members
         blamed = self._blamed()
@@ -88,7 +91,11 @@
             back = heard is not None and ctx.now - heard.at < 1.5
             if back and ctx.now - self.evicted[name] > 2.0:
                 del self.evicted[name]
-        members = [live[n] for n in sorted(live) if n == ctx.me or n not in self.evicted]
+        members = [
+            live[n]
+            for n in sorted(live)
+            if n == ctx.me or (n not in self.evicted and self.upgrade.speaks(n))
+        ]
         if roster is not None and roster.leader == ctx.me and ctx.my_record() is not None:
             self.leaderless_since = None
             if members != roster.members and self._settled(members, roster):
@@ -138,6 +145,7 @@
     def _join(self) -> None:
         """Replace our former self's key at once: it will not come back."""
         ctx = self.ctx
+        self.upgrade.announce()
         record = MemberRecord(ctx.me, ctx.permit, ctx.settings.zone)
 
         def change(current: Struct | None) -> Result:
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -156,8 +156,9 @@
                 raise Void("same")
             return catalog
 
+        key = records.TYPES if self.ctx.view.level else records.CATALOG
         self.ctx.queue.propose(
-            Edit(records.CATALOG, change, fence=self.ctx.view.token, rank=LATER, tag="catalog")
+            Edit(key, change, fence=self.ctx.view.token, rank=LATER, tag="catalog")
         )
 
     def _list(self) -> None:
@@ -263,9 +264,11 @@
     # Records
 
     def _hire_edit(self, pool: PoolId, name: str, hire: Hire | None) -> None:
-        room = self.ctx.settings.params.state.value_kb * 1024 - 200
+        queue = self.ctx.queue
 
         def change(current: Struct | None) -> Result:
+            parts = queue.most_parts() if self.ctx.view.level else 1
+            room = queue.limits.value * parts - 200
             record = current if isinstance(current, PoolRecord) else PoolRecord()
             kept = [h for h in record.hires if h.name != name]
             if hire is not None:
@@ -581,8 +584,11 @@
         teams = ctx.settings.params.teams
         quota = Quota(teams, ctx.view.usage)
         for name, job in ctx.view.jobs.items():
-            if name not in self.arrivals and ctx.wall - job.at < self.parameters.arrivals_window:
-                self.arrivals[name] = (job.at, job.spec)
+            if name in self.arrivals or ctx.view.needs.holds(name):
+                continue  # a job arrives here when it may start
+            since = ctx.view.since(name, job)
+            if ctx.wall - since < self.parameters.arrivals_window:
+                self.arrivals[name] = (since, job.spec)
         for seen, (at, spec) in list(self.arrivals.items()):
             if ctx.wall - at > self.parameters.arrivals_window:
                 del self.arrivals[seen]
@@ -600,7 +606,7 @@
             zones: dict[str, int] = {}
             for e in wait.job.entries:
                 zones[e.zone] = zones.get(e.zone, 0) + 1
-            needs.append(Need(spec, count, zones, wait.slack, ctx.wall - wait.job.at))
+            needs.append(Need(spec, count, zones, wait.slack, wait.age))
         for machine in ctx.view.occupied():
             known = self.known.get(machine)
             if known is not None:
--- a/coursefold/coordination/jobs.py
+++ b/coursefold/coordination/jobs.py
@@ -30,6 +30,14 @@
     return job
 
 
+def _startable(record: Struct | None) -> JobRecord:
+    """A live job that waits for no other: without this, news out of order could start it."""
+    job = _live(record)
+    if job.needs:
+        raise Void("waits for other jobs")
+    return job
+
+
 def settle(job: JobRecord) -> Result:
     """The record itself, or its ending when nothing of it is left to do.
 
@@ -49,18 +57,52 @@
     def change(record: Struct | None) -> Result:
         if not isinstance(record, Ending):
             raise Void("not ended")
-        return End(record)
+        # When it ended is asked by those that need it, and none does any more.
+        return End(Ending(record.status, record.tasks))
 
     return change
 
 
-def accept(spec: Job, at: float) -> Change:
-    """A new job; Void where it is known already."""
+def accept(spec: Job, at: float, needs: Sequence[str] = (), cancelled: bool = False) -> Change:
+    """A new job; Void where it is known already.
+
+    `needs` are the jobs before it that are not done; `cancelled` if one of them never will be.
+    """
 
     def change(record: Struct | None) -> Result:
         if record is not None:
             raise Void("known")
-        return JobRecord(spec, at)
+        if cancelled:
+            return Ending(records.CANCELLED, spec.tasks)
+        return JobRecord(msgspec.structs.replace(spec, prereqs=None), at, needs=list(needs))
+
+    return change
+
+
+def release(ready: float) -> Change:
+    """All that the job needs is done: from here on its tasks may be dealt.
+
+    Made in the transaction of the first deal, so it costs no change of its own. That
+    what it needed is done was seen before, and never changes again.
+    """
+
+    def change(record: Struct | None) -> Result:
+        job = _live(record)
+        if not job.needs:
+            raise Void("waits for nothing")
+        return msgspec.structs.replace(job, needs=[], ready=ready)
+
+    return change
+
+
+def orphan() -> Change:
+    """The ending of a job that needs a cancelled one; it has no task, and never had."""
+
+    def change(record: Struct | None) -> Result:
+        job = _live(record)
+        if not job.needs or job.entries:
+            raise Void("waits for nothing")
+        return Ending(records.CANCELLED, job.spec.tasks)
 
     return change
 
@@ -89,7 +131,7 @@
     """Hand waiting tasks to owners; those that no longer wait are left out."""
 
     def change(record: Struct | None) -> Result:
-        job = _live(record)
+        job = _startable(record)
         taken = {e.index for e in job.entries}
         new = [
             Entry(t.number, DEALT, job.attempt, t.owner, t.zone, t.machine)
@@ -137,7 +179,7 @@
     """
 
     def change(record: Struct | None) -> Result:
-        job = _live(record)
+        job = _startable(record)
         entries = {e.index: e for e in job.entries}
         attempt = job.attempt
         for task in tasks:
@@ -165,7 +207,7 @@
     """
 
     def change(record: Struct | None) -> Result:
-        job = _live(record)
+        job = _startable(record)
         if job.entries or len(places) != job.spec.tasks:
             raise Void("not waiting")
         attempt = job.attempt + 1
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from itertools import islice
 from math import inf
 
 from coursefold.coordination import gangs, jobs, preemption
@@ -16,25 +17,31 @@
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import Picker, Refused, Room
 from coursefold.coordination.quota import Quota
+from coursefold.coordination.urgency import Urgency
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
-from coursefold.storage.queue import Edit
+from coursefold.storage.queue import LATER, Edit
 from coursefold.storage.records import PLACED, JobRecord, job_key
 
 log = logging.getLogger(__name__)
 
 ENTRY_BYTES = 70
 RECORD_BYTES = 1500
+PACKED_BYTES = 24  # an entry in a record laid over several keys; measured: 8 to 16
 MOST_DEALT = 200  # tasks of one job in one round
+ORPHANS = 8  # endings of jobs that need a cancelled one, written at a time
 
 
 class Waiting:
     """A job with tasks to deal, in queue order."""
 
-    __slots__ = ("job", "name", "order", "slack", "within")
+    __slots__ = ("age", "job", "name", "order", "rank", "slack", "within")
 
-    def __init__(self, name: JobId, job: JobRecord, within: bool, order: Order) -> None:
+    def __init__(
+        self, name: JobId, job: JobRecord, within: bool, order: Order, rank: int, age: float
+    ) -> None:
         self.name, self.job, self.within, self.order = name, job, within, order
+        self.rank, self.age = rank, age
         self.slack = order.slack
 
 
@@ -70,7 +77,8 @@
         self.told: dict[JobId, str] = {}
         self.runs = Runs()
         self.ordering = Ordering(ctx.settings.params.objectives)
-        self.preemption = preemption.Preemption(ctx)
+        self.urgency = Urgency(ctx, lambda spec: self.runs.mean(spec, ctx.now))
+        self.preemption = preemption.Preemption(ctx, self.urgency.rank)
         self.first: JobId | None = None
         self.up: set[str] = set()
         self.flying: dict[JobId, set[int]] = {}
@@ -80,8 +88,10 @@
 
     def most_entries(self) -> int:
         """As many tasks at once as a record has room for."""
-        limit = self.ctx.settings.params.state.value_kb * 1024
-        return max(4, int((limit - RECORD_BYTES) / ENTRY_BYTES))
+        queue = self.ctx.queue
+        if self.ctx.view.level:
+            return max(4, queue.limits.value * queue.most_parts() // PACKED_BYTES)
+        return max(4, int((queue.limits.value - RECORD_BYTES) / ENTRY_BYTES))
 
     def queue(self, quota: Quota) -> list[Waiting]:
         """Jobs that could start something now, the most pressing first."""
@@ -95,22 +105,26 @@
             tasks = job.spec.tasks if job.spec.shape != "array" else 1
             within = quota.within_guarantee(job.spec, tasks)
             run = self.runs.mean(job.spec, ctx.now)
+            since = ctx.view.since(name, job)
+            rank, due_at = self.urgency.of(name, job)
             order = self.ordering.key(
                 job.spec,
                 name,
-                ctx.wall - job.at,
+                ctx.wall - since,
                 run,
                 within,
                 name == self.first,
                 job.waiting_count,
+                rank,
+                None if due_at is None else due_at - since,
             )
-            found.append(Waiting(name, job, within, order))
+            found.append(Waiting(name, job, within, order, rank, ctx.wall - since))
         return merged(found)
 
     def _longest(self) -> JobId | None:
         """The gang that has waited longest, if that is so long that room is gathered for it."""
         waits = [
-            (job.at, name)
+            (self.ctx.view.since(name, job), name)
             for name, job in self.ctx.view.waiting.items()
             if job.spec.shape == "ensemble" and job.retry_at <= self.ctx.wall
         ]
@@ -123,6 +137,7 @@
             self.wanted.clear()
             return
         self._undeal_lost()
+        self._end_orphans()
         self.reasons = {}
         self.short.clear()
         self.why.clear()
@@ -210,7 +225,7 @@
         ctx = self.ctx
         for name, why in self.reasons.items():
             job = ctx.view.jobs.get(name)
-            if job and ctx.wall - job.at > 5.0 and self.told.get(name) != why:
+            if job and ctx.wall - ctx.view.since(name, job) > 5.0 and self.told.get(name) != why:
                 log.info("%s waits: %s", name, why)
                 self.told[name] = why
         for name in [n for n in self.told if n not in ctx.view.jobs]:
@@ -233,6 +248,24 @@
                     )
                 )
 
+    def _end_orphans(self) -> None:
+        """Write down the endings of jobs that need a cancelled one, a few at a time.
+
+        Every node knows them already, so they wait behind everything else.
+        """
+        ctx = self.ctx
+        for name in islice(ctx.view.needs.doomed, ORPHANS):
+            ctx.queue.propose(
+                Edit(job_key(name), jobs.orphan(), rank=LATER, fence=ctx.view.token, tag="orphan")
+            )
+
+    def _release(self, name: JobId, job: JobRecord) -> None:
+        """What the job needs is done: let its tasks be dealt, in the same transaction."""
+        ctx = self.ctx
+        if job.needs:
+            change = jobs.release(ctx.view.since(name, job))
+            ctx.queue.propose(Edit(job_key(name), change, fence=ctx.view.token, tag="release"))
+
     def _zones(self, job: JobRecord) -> dict[str, int]:
         zones: dict[str, int] = {}
         for e in job.entries:
@@ -270,13 +303,15 @@
                     self.refused.add(job.spec)
                 self.short.add(name)
                 self.reasons[name] = self._why_no_room(job)
-                self.preemption.consider(wait.name, job, index, rooms, wait.within, quota)
+                self.preemption.consider(wait.name, job, index, rooms, wait.within, quota, wait.age)
                 break
             quota.take(job.spec, 1)
             if room.owner == ctx.me:
                 places.append(jobs.Task(index, 0, room.zone, room.id, room.session))
             else:
                 deals.append(jobs.Dealt(index, room.owner, room.zone, room.id))
+        if places or deals:
+            self._release(name, job)
         if places:
             self.owner.propose_place(name, job, places)
         if deals:
@@ -343,7 +378,7 @@
                 room.draining = True  # in this round only: keeps lesser work off
                 if room.owner != ctx.me and room.tasks == 0:
                     self._want(room)
-            self.preemption.consider_gang(name, job, floor.rooms, wait.within)
+            self.preemption.consider_gang(name, job, floor.rooms, wait.within, wait.age)
             return
         for room in plan:
             room.take(job.spec)
@@ -363,6 +398,7 @@
                 ctx.pending.pop((name, i), None)
             log.info("gang %s on %s: %s", name, ",".join(r.id for r in plan), why or "placed")
 
+        self._release(name, job)
         for i, room in enumerate(plan):
             ctx.pending[(name, i)] = (room.id, job.spec)
         edit = Edit(
--- a/coursefold/coordination/ordering.py
+++ b/coursefold/coordination/ordering.py
@@ -48,12 +48,12 @@
             elif aim.kind == "guarantee":
                 self.guarantees.append(aim.within_s)
 
-    def latest_starts(self, spec: Job, run: float, within: bool) -> list[float]:
-        """Seconds after submission by which the job must start for each of its aims."""
+    def latest_starts(self, spec: Job, run: float, within: bool, due: float | None) -> list[float]:
+        """Seconds after it might start by which the job must start for each of its aims."""
         starts = list(self.waits.get(spec.lane, []))
         starts += [within_s - run for within_s in self.finishes.get(spec.lane, [])]
-        if spec.due is not None:
-            starts.append(spec.due - run)
+        if due is not None:
+            starts.append(due - run)
         if within:
             starts += self.guarantees
         return sorted(starts)
@@ -67,13 +67,20 @@
         within: bool,
         first: bool = False,
         waiting: int = 0,
+        rank: int | None = None,
+        due: float | None = None,
     ) -> Order:
-        """Sort key, smaller first; `first` for the gang that room is gathered for."""
-        rank = RANKS[spec.rank]
+        """Sort key, smaller first; `first` for the gang that room is gathered for.
+
+        `rank` is that of the most urgent job that needs this one, and `due` is when this one
+        has to be over for them, in seconds from the moment from which `age` counts.
+        """
+        if rank is None:
+            rank = RANKS[spec.rank]
         group = 0 if rank == 0 else 1 if within else 2
         if age > STARVED_S:
             group = min(group, 1)
-        starts = self.latest_starts(spec, run, within)
+        starts = self.latest_starts(spec, run, within, due)
         ahead = [s - age for s in starts if s > age]
         if first or (spec.shape == "ensemble" and age > STARVED_S):
             return Order(min(group, 1), rank, False, 0, 0.0, -age, name)
--- a/coursefold/coordination/preemption.py
+++ b/coursefold/coordination/preemption.py
@@ -5,13 +5,14 @@
 """
 
 import logging
+from collections.abc import Callable
 
 from coursefold.coordination import jobs
 from coursefold.coordination.context import Context
 from coursefold.coordination.placement import Room, allowed, fetch_time
 from coursefold.coordination.quota import Quota
 from coursefold.protocol.ids import JobId
-from coursefold.protocol.wire import RANKS, Job
+from coursefold.protocol.wire import Job
 from coursefold.storage.queue import Edit
 from coursefold.storage.records import LIVE, PLACED, STOPPING, Entry, JobRecord, job_key
 
@@ -26,8 +27,8 @@
 class Preemption:
     """Chooses victims; one plan per waiting task until it had time to work."""
 
-    def __init__(self, ctx: Context) -> None:
-        self.ctx = ctx
+    def __init__(self, ctx: Context, rank: Callable[[JobId, JobRecord], int]) -> None:
+        self.ctx, self.rank = ctx, rank
         self.plans: dict[tuple[str, int], float] = {}
         self.looks = 0
 
@@ -42,7 +43,14 @@
         return 0.0 if spec.shape == "standing" else 8.0
 
     def may(
-        self, spec: Job, within: bool, victim: JobRecord, quota: Quota | None, age: float
+        self,
+        spec: Job,
+        rank: int,
+        within: bool,
+        name: JobId,
+        victim: JobRecord,
+        quota: Quota | None,
+        age: float,
     ) -> bool:
         """The protocol's rule: a lower rank, or another team's work beyond its guarantee.
 
@@ -50,7 +58,9 @@
         teams within their guarantees stopped one task of a third's after the other, up
         to a hundred for an array of 41, and it was late for all its aims.
         """
-        if RANKS[victim.spec.rank] > RANKS[spec.rank]:
+        if not spec.gpus and victim.spec.gpus:
+            return False  # it uses what work with accelerators leaves over
+        if self.rank(name, victim) > rank:
             return True
         return (
             within
@@ -63,14 +73,13 @@
             and bool(quota.teams[victim.spec.team].gpus or quota.teams[victim.spec.team].cpus)
         )
 
-    def _ready(self, name: JobId, job: JobRecord, index: int) -> bool:
-        ctx = self.ctx
-        if ctx.wall - job.at < self.patience(job.spec):
+    def _ready(self, name: JobId, job: JobRecord, index: int, age: float) -> bool:
+        if age < self.patience(job.spec):
             return False
         if self.looks >= LOOKS or (name, index) in self.plans:
             return False
         self.looks += 1
-        self.plans[(name, index)] = ctx.now + RETRY_S
+        self.plans[(name, index)] = self.ctx.now + RETRY_S
         return True
 
     def _lowest(self, room: Room) -> int:
@@ -78,7 +87,13 @@
         return self.ctx.view.load(room.id).lowest
 
     def victims(
-        self, room: Room, spec: Job, within: bool, quota: Quota | None, age: float
+        self,
+        room: Room,
+        spec: Job,
+        rank: int,
+        within: bool,
+        quota: Quota | None,
+        age: float,
     ) -> list[tuple[JobId, Entry]] | None:
         """The fewest and cheapest tasks to stop on a machine, or None if that is not enough."""
         ctx = self.ctx
@@ -95,9 +110,9 @@
             if e.stage == PLACED
             and job.status == LIVE
             and (job.spec.shape != "ensemble" or job.spec.tasks == 1)
-            and self.may(spec, within, job, quota, age)
+            and self.may(spec, rank, within, name, job, quota, age)
         ]
-        able.sort(key=lambda v: (v[2].spec.checkpoint <= 0, -RANKS[v[2].spec.rank], -v[2].at))
+        able.sort(key=lambda v: (v[2].spec.checkpoint <= 0, -self.rank(v[0], v[2]), -v[2].at))
         chosen: list[tuple[JobId, Entry]] = []
         for name, e, job in able:
             if room.holds(spec):
@@ -117,21 +132,21 @@
         rooms: list[Room],
         within: bool,
         quota: Quota | None,
+        age: float,
     ) -> None:
         """Make room for one task, if stopping others can."""
-        if not self._ready(name, job, index):
+        if not self._ready(name, job, index, age):
             return
-        age = self.ctx.wall - job.at
         best: list[tuple[JobId, Entry]] | None = None
         least = 0.0
-        rank = RANKS[job.spec.rank]
+        rank = self.rank(name, job)
         owed = within and quota is not None and age > GUARANTEE_S
         for room in rooms:
             if not (owed or self._lowest(room) > rank):
                 continue  # nothing there that this may stop
             if room.draining or room.lent or not allowed(job.spec, room):
                 continue
-            found = self.victims(room, job.spec, within, quota, age)
+            found = self.victims(room, job.spec, rank, within, quota, age)
             if found is None:
                 continue
             # A place whose image has to come first is taken late all the same.
@@ -141,12 +156,13 @@
         if best is not None:
             self._stop(name, index, best)
 
-    def consider_gang(self, name: JobId, job: JobRecord, rooms: list[Room], within: bool) -> None:
+    def consider_gang(
+        self, name: JobId, job: JobRecord, rooms: list[Room], within: bool, age: float
+    ) -> None:
         """Make room for a gang: only if every missing place can be freed."""
-        if not self._ready(name, job, 0):
+        if not self._ready(name, job, 0, age):
             return
-        age = self.ctx.wall - job.at
-        rank = RANKS[job.spec.rank]
+        rank = self.rank(name, job)
         rooms = [
             r
             for r in rooms
@@ -164,7 +180,7 @@
                 if room.holds(job.spec):
                     places += 1
                 elif places < job.spec.tasks:
-                    found = self.victims(room, job.spec, within, None, age)
+                    found = self.victims(room, job.spec, rank, within, None, age)
                     if found is not None:
                         chosen.extend(found)
                         places += 1
--- a/coursefold/protocol/wire.py
+++ b/coursefold/protocol/wire.py
@@ -51,6 +51,7 @@
     builds: list[Text] | None = field(name="Builds", default=None)
     zone: Text | None = field(name="Site", default=None)
     due: Amount | None = field(name="DueS", default=None)
+    prereqs: list[str] | None = field(name="Prereqs", default=None)
 
 
 class TaskReport(Struct, frozen=True):
@@ -220,7 +221,12 @@
     _finite(job, JOB_FLOATS)
     if not is_job_id(job.name):
         raise Malformed("not a job id - at `$.NameId`")
-    return job
+    if job.prereqs is None:
+        return job
+    for at, name in enumerate(job.prereqs):
+        if not is_job_id(name):
+            raise Malformed(f"not a job id - at `$.Prereqs[{at}]`")
+    return msgspec.structs.replace(job, prereqs=list(dict.fromkeys(job.prereqs)))
 
 
 def decode_report(body: bytes) -> Report:
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -173,7 +173,7 @@
             core.report(body, ticket)
         elif path == "/healthz" and method == "GET":
             healthy = core.healthy()
-            self.server.answer(ticket, 200 if healthy else 503, {"ok": healthy})
+            self.server.answer(ticket, 200 if healthy else 503, core.condition())
         elif path == "/work" and method == "POST":
             core.submit(body, ticket)
         elif path.startswith("/work/"):
@@ -386,14 +386,16 @@
             if outcome.ok:
                 queue.applied(batch, outcome.ledger)
             elif outcome.malformed:
-                if any(e.permit for e in batch.edits):
-                    self.core.ctx.permit = 0  # no such lease: get a new one
+                if any(e.permit for e in batch.edits) and outcome.no_lease:
+                    self.core.ctx.permit = 0  # get a new one
                 queue.invalid(batch)
             else:
                 queue.conflicted(batch, outcome.failed)
         except Unavailable as wrong:
             self._enter()
             log.debug("commit: %s", wrong)
+            if wrong.status == 429:
+                queue.slower()
             if wrong.status in (429, 503):
                 queue.refused(batch, now(), jitter(0.25))
             else:
@@ -410,9 +412,16 @@
         try:
             row = await self.state.get(key)
             if row is not None:
+                parts: list[KeyRow] = []
+                if isinstance(row.value, dict):
+                    parts, _ = await self.state.rows(records.parts_prefix(key))
                 self._enter()
                 view.put(key, row.value, row.stamp)
-                queue.refreshed(key)
+                for part in parts:
+                    view.put(part.key, part.value, part.stamp)
+                # Parts of a later Stamp belong to a newer head: it has to be read again.
+                if not view.incomplete(key):
+                    queue.refreshed(key)
             elif key.startswith(records.JOBS):
                 ended = await self.state.get(key.replace(records.JOBS, records.ENDINGS, 1))
                 self._enter()
--- a/coursefold/settings.py
+++ b/coursefold/settings.py
@@ -10,6 +10,7 @@
 
 Positive = Annotated[float, Meta(gt=0, le=1e6)]
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
+LEAST_KB = 0.5
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
 
 
@@ -55,11 +56,27 @@
     cancel_s: Positive
 
 
+class LaterLimits(Struct, frozen=True):
+    """What the state service will allow from some moment on; a field left out stays."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=2, le=10000)] | None = None
+
+
 class StateLimits(Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=2, le=10000)]
+    next: LaterLimits | None = None
+
+    def later(self) -> "StateLimits":
+        """The limits to come: of each the smaller one, and none where nothing is said."""
+        told = msgspec.structs.asdict(self.next) if self.next else {}
+        lower = {k: min(v, getattr(self, k)) for k, v in told.items() if v is not None}
+        return msgspec.structs.replace(self, next=None, **lower)
 
 
 class CloudLimits(Struct, frozen=True):
@@ -122,6 +139,10 @@
     names = [settings.member, *(s.member for s in settings.siblings)]
     if len(set(names)) != len(names):
         raise SettingsError("siblings: member names are not all different")
+    later = settings.params.state.later()
+    if later.value_kb < LEAST_KB:
+        # A packed record's head has to hold its own frame and some of the text.
+        raise SettingsError(f"params.state.next.value_kb: must be at least {LEAST_KB:g}")
     workers = settings.params.workers
     if workers.lease_s <= workers.report_s:
         raise SettingsError("params.workers.lease_s: must exceed report_s")
--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -5,12 +5,19 @@
 one key are applied together, and many keys share a transaction; leases,
 cancellations and accepts come before everything else. The queue does no I/O:
 `next_batch` gives what to send, `finished` takes what came of it.
+
+The state service may lower its limits without notice. A transaction refused for its
+size or its number of changes was not carried out: the lower limits are taken at once
+and the same edits are formed anew. Until every controller can read records laid over
+several keys, one that is too large for the lower limits cannot be written at all; edits
+that do not make it larger wait until it can.
 """
 
 import logging
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+import msgspec
 from msgspec import Struct
 
 from coursefold.protocol.ids import Moment
@@ -71,6 +78,14 @@
             self.done(ok, why)
 
 
+class Limits(NamedTuple):
+    """What the state service takes."""
+
+    txn_ops: int
+    value: int  # bytes
+    write_rps: float
+
+
 class Batch(NamedTuple):
     """A transaction under way."""
 
@@ -78,6 +93,8 @@
     results: dict[str, Result]
     edits: list[Edit]
     writes: int
+    parts: dict[str, int]  # of the records laid over several keys
+    limits: Limits
 
 
 class Budget:
@@ -101,14 +118,23 @@
 class CommitQueue:
     """Edits waiting and under way."""
 
-    def __init__(self, view: View, *, txn_ops: int, value_kb: float, write_rps: float) -> None:
+    def __init__(
+        self,
+        view: View,
+        *,
+        txn_ops: int,
+        value_kb: float,
+        write_rps: float,
+        later: Limits | None = None,
+    ) -> None:
         self.view = view
-        self.txn_ops = txn_ops
-        self.value_limit = int(value_kb * 1024)
+        self.limits = Limits(txn_ops, int(value_kb * 1024), write_rps)
+        self.later = later
+        self.parked: dict[str, list[Edit]] = {}
+        self.wall = 0.0
         self.waiting: dict[str, list[Edit]] = {}
         self.flying: set[str] = set()
         self.stale: set[str] = set()
-        self.write_rps = write_rps
         # The service counts all nodes' changes together. Leases, accepts and cancellations
         # have a budget of their own, so that no backlog of other work delays them.
         self.first = Budget(write_rps * 0.5, max(2.0, write_rps * 0.5))
@@ -121,8 +147,32 @@
         """Our part of the rate: the leader writes for all, others little but accepts."""
         others = min(0.12, 0.3 / max(1, nodes - 1))
         part = 0.85 - others * (nodes - 1) if leading else others
-        self.budget.rate = self.write_rps * part
-        self.budget.burst = max(3.0, self.write_rps * part * 0.6)
+        rate = self.limits.write_rps
+        self.budget.rate = rate * part
+        self.budget.burst = max(3.0, rate * part * 0.6)
+        self.first.rate = rate * 0.5
+        self.first.burst = max(2.0, rate * 0.5)
+        if self.view.level:
+            self._lower(sizes=True)  # what is written from the switch on fits either way
+            for key in list(self.parked):
+                self.waiting[key] = [*self.parked.pop(key), *self.waiting.get(key, [])]
+
+    def _lower(self, *, sizes: bool = False, rate: bool = False) -> None:
+        """Take the limits to come, or a part of them, if there are any."""
+        if self.later is None:
+            return
+        now = self.limits
+        if sizes:
+            now = now._replace(txn_ops=self.later.txn_ops, value=self.later.value)
+        if rate:
+            now = now._replace(write_rps=self.later.write_rps)
+        if now != self.limits:
+            self.limits = now
+            log.info("limits of the state service: %s", now)
+
+    def most_parts(self) -> int:
+        """Keys of one record; some are left for what has to go with it."""
+        return max(1, min(self.limits.txn_ops - 1, 16))
 
     def idle(self, now: Moment) -> bool:
         """True if there is room for what is never urgent."""
@@ -179,6 +229,12 @@
         """
         held = self.view.held.get(key)
         current: Struct | None = held.record if held else None
+        before = current
+        if key in self.view.unreadable:
+            # Whatever it is, it is not ours to overwrite.
+            for edit in edits:
+                self._settle(edit, False, "unreadable")
+            return [], None
         kept: list[Edit] = []
         deferred: list[Edit] = []
         result: Result | None = None
@@ -198,8 +254,13 @@
                     self._settle(edit, False, str(void) or "void")
                 continue
             if one_by_one and self._too_large(outcome):
-                self._settle(edit, False, "too large")
+                if self._shrinks(before, outcome):
+                    self.parked.setdefault(key, []).append(edit)
+                else:
+                    self._settle(edit, False, "too large")
                 continue
+            if isinstance(outcome, records.Ending) and self.view.level:
+                outcome = msgspec.structs.replace(outcome, at=round(self.wall, 1))
             result = outcome
             if isinstance(outcome, Struct):
                 current = outcome
@@ -212,10 +273,26 @@
         return kept, result
 
     def _too_large(self, result: Result | None) -> bool:
-        """True if the value would exceed the service's limit."""
+        """True if the record cannot be written within the service's limits."""
         if not isinstance(result, (JobRecord, records.PoolRecord)):
             return False
-        return records.size(records.dump(result)) > self.value_limit
+        value = records.dump(result, self.view.level)
+        if records.size(value) <= self.limits.value:
+            return False
+        if not self.view.level:
+            return True
+        return len(records.spread(value, self.limits.value).parts) >= self.most_parts()
+
+    def _shrinks(self, before: Struct | None, result: Result) -> bool:
+        """Does an edit make a record smaller that is too large as it is?
+
+        It must not get lost: the task that it says has ended would stay for ever.
+        """
+        return (
+            isinstance(before, JobRecord)
+            and isinstance(result, JobRecord)
+            and records.size(records.dump(result)) <= records.size(records.dump(before))
+        )
 
     def next_batch(self, now: Moment) -> Batch | None:
         """The next transaction, or None if nothing can go now."""
@@ -234,9 +311,11 @@
         results: dict[str, Result] = {}
         taken: list[Edit] = []
         weight = 0
+        counts: dict[str, int] = {}
+        most_guards = 4 * self.limits.txn_ops
         for key in ready:
             room = urgent if ranks[key] == FIRST else bulk
-            if len(then) + 2 > min(self.txn_ops, room):
+            if len(then) >= min(self.limits.txn_ops, room) or len(guards) + 3 > most_guards:
                 break
             edits = self.waiting[key]
             fences = {e.fence for e in edits if e.fence is not None and e.fence == self.view.token}
@@ -246,10 +325,15 @@
             edits, result = self._build(key, edits)
             if result is None:
                 continue
-            ops, value_size = self._ops(key, result, edits[-1].permit)
-            if then and weight + value_size > 48 * 1024:
+            ops, value_size, parts = self._ops(key, result, edits[-1].permit)
+            if then and (
+                weight + value_size > 48 * 1024 or len(then) + len(ops) > self.limits.txn_ops
+            ):
                 self.waiting[key] = [*edits, *self.waiting.get(key, [])]
-                break
+                if weight + value_size > 48 * 1024:
+                    break
+                continue  # something smaller may still fit
+            counts[key] = parts
             weight += value_size + 200
             guards[key] = self.view.stamp(key)
             if key.startswith(records.JOBS) and guards[key] == 0:
@@ -270,22 +354,31 @@
         self.budget.take(now, len(then) - min(first, len(then)))
         self.flying.update(results)
         body = {"Guards": [{"K": k, "Stamp": s} for k, s in guards.items()], "Then": then}
-        return Batch(body, results, taken, len(then))
+        return Batch(body, results, taken, len(then), counts, self.limits)
 
     def _ops(
         self, key: str, result: Result, permit: int | None
-    ) -> tuple[list[dict[str, Any]], int]:
+    ) -> tuple[list[dict[str, Any]], int, int]:
+        """A result's changes, their size, and how many parts the record has now."""
+        old = self.view.spread.get(key, 0)
+        gone = [{"Remove": records.part_key(key, n)} for n in range(1, old + 1)]
         if isinstance(result, Remove):
-            return [{"Remove": key}], 100
+            return [{"Remove": key}, *gone], 100, 0
         if isinstance(result, End):
             ending = key.replace(records.JOBS, records.ENDINGS, 1)
             value = records.dump(result.ending)
-            return [{"Remove": key}, {"Set": ending, "Value": value}], 200
-        value = records.dump(result)
-        op: dict[str, Any] = {"Set": key, "Value": value}
+            return [{"Remove": key}, {"Set": ending, "Value": value}, *gone], 200, 0
+        level = self.view.level
+        value = records.dump(result, level)
+        limit = self.limits.value if level else 1 << 30
+        head, parts = records.spread(value, limit)
+        op: dict[str, Any] = {"Set": key, "Value": head}
         if permit is not None:
             op["Permit"] = permit
-        return [op], records.size(value)
+        ops = [op]
+        ops += [{"Set": records.part_key(key, n), "Value": t} for n, t in enumerate(parts, 1)]
+        size = records.size(head) + sum(len(text) for text in parts)
+        return ops + gone[len(parts) :], size, len(parts)
 
     def applied(self, batch: Batch, ledger: int) -> None:
         """The transaction was carried out at this revision."""
@@ -296,7 +389,7 @@
                 if isinstance(result, End):
                     self.view.remember(key, result.ending)
             elif ledger > self.view.stamp(key):
-                self.view.keep(key, result, ledger)
+                self.view.keep(key, result, ledger, batch.parts.get(key, 0))
         for edit in batch.edits:
             self._settle(edit, True)
 
@@ -316,8 +409,31 @@
         self.pause_until = Moment(now + pause)
         self._again(batch, most=1000)
 
+    def slower(self) -> None:
+        """Over the rate (429): after the switch the lower one may have come.
+
+        Before it, a burst of our own is the likelier cause.
+        """
+        if self.view.level:
+            self._lower(rate=True)
+
+    def _beyond(self, batch: Batch, limits: Limits) -> bool:
+        """Would this transaction be too much under these limits?"""
+        return batch.writes > limits.txn_ops or any(
+            records.size(op["Value"]) > limits.value for op in batch.body["Then"] if "Value" in op
+        )
+
     def invalid(self, batch: Batch) -> None:
-        """Refused as malformed: trying again would not help."""
+        """Refused as malformed: nothing was carried out, and the same would fare no better.
+
+        What is beyond the limits to come shows that they have come: its edits are formed
+        anew. All else is settled, and so is what was formed under these very limits.
+        """
+        if self.later is not None and self._beyond(batch, self.later):
+            self._lower(sizes=True, rate=True)
+            if batch.limits != self.limits:
+                self._again(batch, most=1000)
+                return
         for key in batch.results:
             self.flying.discard(key)
         self.stale.update(batch.results)
--- a/coursefold/storage/records.py
+++ b/coursefold/storage/records.py
@@ -4,9 +4,16 @@
 change of a job writes its record whole. A job's record is small while it lives
 and becomes a tiny `Ending` under another prefix when it is over, so that a
 starting node reads live jobs only and ended ones take no memory.
+
+Forms that version 0.1 cannot read are written only once every controller can
+(`Level`): an ending's time, the roster's second form, and records too large for
+one value, which are compressed and laid over several keys (`spread`).
 """
 
-from typing import Any, TypeVar
+import base64
+import binascii
+import zlib
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 from msgspec import Struct
@@ -21,6 +28,11 @@
 ENDINGS = "cf/e/"
 MEMBERS = "cf/m/"
 POOLS = "cf/p/"
+VERSIONS = "cf/v/"
+PARTS = "cf/x/"
+LEVEL = Key("cf/level")
+TYPES = Key("cf/types")  # the machine types since the switch; `CATALOG` before it
+OURS = 1  # the level of the forms that this version can write
 
 DEALT, PLACED, STOPPING = 0, 1, 2
 LIVE, CANCELLED, DONE = 0, 1, 2
@@ -45,6 +57,26 @@
     return Key(POOLS + build)
 
 
+def version_key(member: str) -> Key:
+    return Key(VERSIONS + member)
+
+
+class Version(Struct, array_like=True, frozen=True):
+    """What a controller's process can write and read; `permit` names the process.
+
+    Without a lease: a controller that is down keeps the version that it last had.
+    """
+
+    level: int
+    permit: int
+
+
+class Level(Struct, array_like=True, frozen=True):
+    """The forms that all controllers are known to read. Only ever raised."""
+
+    level: int
+
+
 class MemberRecord(Struct, array_like=True, frozen=True):
     """A live controller; attached to its lease, which is its incarnation."""
 
@@ -87,6 +119,13 @@
     errors: int = 0
     retry_at: float = 0.0
     failed_on: list[str] = []
+    needs: list[str] = []  # jobs that were not done when this one was accepted
+    ready: float = 0.0  # when the last of them was done, once tasks may be dealt
+
+    @property
+    def since(self) -> float:
+        """The moment from which all but the deadline counts."""
+        return self.ready or self.at
 
     @property
     def done_count(self) -> int:
@@ -120,6 +159,7 @@
 
     status: int
     tasks: int
+    at: float = 0.0  # when it ended, while a job that needs it may ask
 
 
 class Hire(Struct, array_like=True, frozen=True):
@@ -253,6 +293,16 @@
     errors: int = 0
     retry_at: float = 0.0
     failed_on: list[str] = []
+    needs: list[str] = []
+    ready: float = 0.0
+
+
+class _Roster(Struct, array_like=True, frozen=True):
+    """The roster since the switch. An old process cannot read it, so it never leads or owns."""
+
+    level: int
+    leader: str
+    members: list[MemberRecord]
 
 
 def _plain(job: Job) -> _Spec:
@@ -263,14 +313,27 @@
     return Job(**{name: getattr(spec, name) for name in _Spec.__struct_fields__})
 
 
-def dump(record: Struct) -> Any:
-    """A record as plain data for the wire."""
+# Fields that may be left out at a record's end when they are empty. For an ending that is
+# what version 0.1 knows it by: a list of two.
+_LEAST: dict[type[Struct], int] = {_Job: 6, Ending: 2}
+
+
+def dump(record: Struct, level: int = 0) -> Any:
+    """A record as plain data for the wire, in the newest form that all controllers read."""
     if isinstance(record, JobRecord):
         record = _Job(
             _plain(record.spec), record.at, record.status, record.attempt, pack(record.entries),
-            record.done, record.errors, record.retry_at, record.failed_on,
+            record.done, record.errors, record.retry_at, record.failed_on, record.needs,
+            record.ready,
         )  # fmt: skip
-    return msgspec.to_builtins(record)
+    elif isinstance(record, Roster) and level:
+        record = _Roster(level, record.leader, record.members)
+    value = msgspec.to_builtins(record)
+    least = _LEAST.get(type(record))
+    if least is not None:
+        while len(value) > least and not value[-1]:
+            value.pop()
+    return value
 
 
 SHAPES: dict[str, type[Struct]] = {
@@ -278,25 +341,31 @@
     ENDINGS: Ending,
     MEMBERS: MemberRecord,
     POOLS: PoolRecord,
+    VERSIONS: Version,
 }
 
 
 def parse(key: str, value: Any) -> Struct | None:
     """The record at a key, or None where the key is not ours."""
     if key == ROSTER:
+        if isinstance(value, list) and value and isinstance(value[0], int):
+            newer = msgspec.convert(value, _Roster)
+            return Roster(newer.leader, newer.members)
         return msgspec.convert(value, Roster)
-    if key == CATALOG:
+    if key in (CATALOG, TYPES):
         return msgspec.convert(value, Catalog)
+    if key == LEVEL:
+        return msgspec.convert(value, Level)
     for prefix, shape in SHAPES.items():
         if key.startswith(prefix):
-            if prefix == JOBS and isinstance(value, list) and len(value) == 2:
+            if prefix == JOBS and isinstance(value, list) and 2 <= len(value) <= 3:
                 return msgspec.convert(value, Ending)  # ended, not yet moved
             record = msgspec.convert(value, shape)
             if isinstance(record, _Job):
                 return JobRecord(
                     _rich(record.spec), record.at, record.status, record.attempt,
                     unpack(record.entries), record.done, record.errors, record.retry_at,
-                    record.failed_on,
+                    record.failed_on, record.needs, record.ready,
                 )  # fmt: skip
             return record
     return None
@@ -305,3 +374,74 @@
 def size(value: Any) -> int:
     """Bytes of a value in JSON form, which is how the limits count."""
     return len(msgspec.json.encode(value))
+
+
+class Spread(NamedTuple):
+    """A value laid over several keys: the record's own, and its parts in order."""
+
+    head: Any
+    parts: list[str]
+
+
+FRAME = 40  # a head's own bytes around its text
+UNPACKED = 8 * 1024 * 1024
+
+
+class Packed(Struct, frozen=True, forbid_unknown_fields=True):
+    """The head of a record too large for one value: how many parts follow, and the first text."""
+
+    parts: int
+    text: str
+
+
+def spread(value: Any, limit: int) -> Spread:
+    """A value as it is written within `limit` bytes a key.
+
+    One that fits stays as it is, for people to read. A larger one is compressed (a
+    gang's places differ by a few digits each) and cut; head and parts are written in one
+    transaction, so that they carry the same Stamp, which is how a reader knows that they
+    belong together.
+    """
+    if size(value) <= limit:
+        return Spread(value, [])
+    text = base64.b64encode(zlib.compress(msgspec.msgpack.encode(value), 6)).decode()
+    room = limit - FRAME
+    cut = [text[at : at + room] for at in range(0, len(text), room)]
+    return Spread({"parts": len(cut) - 1, "text": cut[0]}, cut[1:])
+
+
+def packed(value: Any) -> Packed | None:
+    """The head of a record that is laid over several keys, or None for a plain value."""
+    if not isinstance(value, dict) or "parts" not in value:
+        return None
+    try:
+        return msgspec.convert(value, Packed)
+    except msgspec.ValidationError as wrong:
+        raise ValueError(str(wrong)) from None
+
+
+def join(texts: list[str]) -> Any:
+    """A spread value put together again; ValueError if it is damaged."""
+    try:
+        unpacker = zlib.decompressobj()
+        raw = unpacker.decompress(base64.b64decode("".join(texts), validate=True), UNPACKED)
+        if not unpacker.eof:
+            raise ValueError("cut short or too large")
+        return msgspec.msgpack.decode(raw)
+    except (binascii.Error, zlib.error, msgspec.MsgspecError) as wrong:
+        raise ValueError(str(wrong)) from None
+
+
+def part_key(key: str, number: int) -> Key:
+    """The key of a record's part, counted from 1."""
+    return Key(f"{PARTS}{key.removeprefix(ROOT)}/{number}")
+
+
+def parts_prefix(key: str) -> str:
+    """What the keys of all parts of a record begin with."""
+    return f"{PARTS}{key.removeprefix(ROOT)}/"
+
+
+def head_key(part: str) -> Key:
+    """The record that a part belongs to."""
+    return Key(ROOT + part.removeprefix(PARTS).rpartition("/")[0])
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -13,13 +13,16 @@
 from coursefold.protocol.ids import JobId, Stamp
 from coursefold.protocol.wire import RANKS, Catalog, Job
 from coursefold.storage import records
+from coursefold.storage.needs import Needs
 from coursefold.storage.records import (
     Ending,
     Entry,
     JobRecord,
+    Level,
     MemberRecord,
     PoolRecord,
     Roster,
+    Version,
 )
 
 log = logging.getLogger(__name__)
@@ -67,6 +70,15 @@
         self.roster: Roster | None = None
         self.token = 0  # the roster's Stamp
         self.catalog: Catalog | None = None
+        self.level = 0  # the forms that all controllers read
+        self.versions: dict[str, Version] = {}
+        self.needs = Needs()
+        self.unreadable: set[str] = set()
+        # Records laid over several keys: how many parts each has, parts whose head has
+        # not come yet, and heads whose parts have not.
+        self.spread: dict[str, int] = {}
+        self._parts: dict[str, tuple[str, int]] = {}
+        self._heads: dict[str, tuple[Any, int]] = {}
         # Indices, kept up to date by the difference of each change: at hundreds of
         # machines, building them anew cost more than all decisions together.
         self.waiting: dict[JobId, JobRecord] = {}
@@ -85,18 +97,56 @@
         """Take a key's value; False if it was known or is overtaken."""
         if key.startswith(records.ENDINGS):
             return self._put_ending(key, value)
+        if key.startswith(records.PARTS):
+            return self._put_part(key, value, stamp)
         if stamp <= self.stamp(key) or stamp <= self.gone.get(key, 0):
             return False
+        count = 0
         try:
+            head = records.packed(value)
+            if head is not None:
+                texts = self._texts(key, head, stamp)
+                if texts is None:
+                    self._heads[key] = (value, stamp)
+                    return False
+                value, count = records.join(texts), head.parts
             record = records.parse(key, value)
-        except (msgspec.ValidationError, TypeError) as wrong:
+        except (msgspec.ValidationError, TypeError, ValueError) as wrong:
             log.error("record %s is not readable: %s", key, wrong)
+            self.unreadable.add(key)
             return False
         if record is None:
             return False
-        self.keep(key, record, stamp)
+        self.keep(key, record, stamp, count)
         return True
 
+    def _texts(self, key: str, head: records.Packed, stamp: int) -> list[str] | None:
+        """A packed record's texts, or None while a part of the same Stamp is missing."""
+        texts = [head.text]
+        keys = [records.part_key(key, number) for number in range(1, head.parts + 1)]
+        for part in keys:
+            text, at = self._parts.get(part, ("", 0))
+            if at != stamp:
+                return None
+            texts.append(text)
+        for part in keys:
+            del self._parts[part]
+        return texts
+
+    def _put_part(self, part: str, value: Any, stamp: int) -> bool:
+        key = records.head_key(part)
+        if stamp <= self.stamp(key) or stamp <= self.gone.get(key, 0):
+            return False  # its head is known already, from our own commit
+        if not isinstance(value, str) or stamp < self._parts.get(part, ("", 0))[1]:
+            return False
+        self._parts[part] = (value, stamp)
+        waiting = self._heads.get(key)
+        return waiting is not None and self.put(key, *waiting)
+
+    def incomplete(self, key: str) -> bool:
+        """True while a newer head of this record waits for its parts."""
+        return key in self._heads
+
     def _put_ending(self, key: str, value: Any) -> bool:
         try:
             record = records.parse(key, value)
@@ -114,14 +164,57 @@
         self.endings[name] = ending
         while len(self.endings) > ENDINGS:
             del self.endings[next(iter(self.endings))]
+        self._revive(self.needs.ended(name, ending.status, ending.at))
+
+    def _revive(self, changed: list[JobId]) -> None:
+        """Jobs that what they need has set free, or cancelled with it."""
+        for name in changed:
+            job = self.jobs.get(name)
+            if job is not None:
+                self._queue(name, job)
+
+    def _queue(self, name: JobId, job: JobRecord) -> None:
+        """Does the job have tasks to deal?"""
+        live = job.status == records.LIVE and job.waiting_count > 0
+        if live and not self.needs.holds(name):
+            self.waiting[name] = job
+        else:
+            self.waiting.pop(name, None)
 
-    def keep(self, key: str, record: Struct, stamp: int) -> None:
-        """Take a record that is known to be the newest."""
+    def since(self, name: JobId, job: JobRecord) -> float:
+        """The moment from which all but the deadline counts, written yet or not."""
+        return job.ready or self.needs.ready.get(name) or job.at
+
+    def fate(self, name: JobId) -> int | None:
+        """What is known of a job as one that others need; None: not among what we hold."""
+        if self.needs.is_doomed(name):
+            return records.CANCELLED
+        if (job := self.jobs.get(name)) is not None:
+            return job.status
+        held = self.held.get(records.job_key(name))
+        if held is not None and isinstance(held.record, Ending):
+            return held.record.status
+        known = self.endings.get(name)
+        return known.status if known is not None else None
+
+    def keep(self, key: str, record: Struct, stamp: int, parts: int = 0) -> None:
+        """Take a record that is known to be the newest, and how many parts it has."""
         self.held[key] = Held(record, Stamp(stamp))
+        self.unreadable.discard(key)
+        self._heads.pop(key, None)
+        if parts:
+            self.spread[key] = parts
+        else:
+            self.spread.pop(key, None)
         if isinstance(record, Roster):
             self.roster, self.token = record, stamp
         elif isinstance(record, Catalog):
-            self.catalog = record
+            if key == records.TYPES or records.TYPES not in self.held:
+                self.catalog = record
+        elif isinstance(record, Level):
+            self.level = max(self.level, record.level)
+        elif isinstance(record, Version):
+            self.versions[key.removeprefix(records.VERSIONS)] = record
         if isinstance(record, JobRecord):
             name = JobId(key.removeprefix(records.JOBS))
             before = self.jobs.get(name)
@@ -142,10 +235,17 @@
         """Bring the indices from one state of a job to the next."""
         old = before.entries if before else []
         new = after.entries if after else []
-        if after is not None and after.status == records.LIVE and after.waiting_count > 0:
-            self.waiting[name] = after
-        else:
+        if after is not None and after.needs and after.status == records.LIVE:
+            if before is None or before.needs != after.needs:
+                self._revive(self.needs.add(name, after.needs, self._how(after.needs)))
+        elif before is not None and before.needs:
+            self.needs.remove(name)
+        if after is None:
             self.waiting.pop(name, None)
+        else:
+            self._queue(name, after)
+            if after.status == records.CANCELLED:
+                self._revive(self.needs.ended(name, records.CANCELLED, 0.0))
         status_changed = before is not None and after is not None and before.status != after.status
         if old != new or status_changed:
             had = set(old)
@@ -164,6 +264,21 @@
             used[0] += known.spec.cpus * (len(new) - len(old))
             used[1] += known.spec.gpus * (len(new) - len(old))
 
+    def _how(self, needs: list[str]) -> dict[JobId, tuple[int, float]]:
+        """Of the jobs that one needs, those that are over, and when."""
+        found: dict[JobId, tuple[int, float]] = {}
+        for need in map(JobId, needs):
+            fate = self.fate(need)
+            if fate:
+                held = self.held.get(records.job_key(need))
+                ending = held.record if held else self.endings.get(need)
+                found[need] = (fate, ending.at if isinstance(ending, Ending) else 0.0)
+        return found
+
+    def unresolved(self) -> list[JobId]:
+        """Jobs that others need of which we hold nothing: they ended, and have moved."""
+        return [need for need in self.needs.open if self.fate(need) is None]
+
     def _place(self, name: JobId, entry: Entry) -> None:
         key = (name, entry.index)
         self._places.setdefault(entry.machine, {})[key] = entry
@@ -193,8 +308,16 @@
 
     def drop(self, key: str, stamp: int) -> bool:
         """Take a removal; False if it is overtaken."""
+        if key.startswith(records.PARTS):
+            if stamp >= self._parts.get(key, ("", stamp + 1))[1]:
+                del self._parts[key]
+            return False
         if stamp < self.stamp(key):
             return False
+        self.unreadable.discard(key)
+        self.spread.pop(key, None)
+        if key in self._heads and self._heads[key][1] <= stamp:
+            del self._heads[key]
         if key.startswith((records.JOBS, records.MEMBERS)):
             # A removal seen before an older write of the same key must win over it.
             self.gone[key] = max(stamp, self.gone.get(key, 0))
@@ -213,6 +336,8 @@
             self.members.pop(known.record.name, None)
         elif isinstance(known.record, PoolRecord):
             self.pools.pop(key.removeprefix(records.POOLS), None)
+        elif isinstance(known.record, Version):
+            self.versions.pop(key.removeprefix(records.VERSIONS), None)
         return True
 
     def on_machine(self, machine: str) -> list[tuple[JobId, Entry]]:
@@ -249,6 +374,9 @@
     def reload(self, rows: list[tuple[str, Any, int]], ledger: int) -> None:
         """Replace everything with a full listing that is at least as new as `ledger`."""
         present = {key for key, _, _ in rows}
+        self._parts.clear()
+        self._heads.clear()
+        self.unreadable &= present
         for key in [k for k in self.held if k not in present]:
             if self.stamp(key) <= ledger:
                 self.drop(key, ledger)
--- a/coursefold/transport/state.py
+++ b/coursefold/transport/state.py
@@ -42,6 +42,7 @@
     ledger: int
     failed: list[str]
     malformed: bool = False
+    no_lease: bool = False
 
 
 class StateClient:
@@ -136,7 +137,7 @@
             conflict = self._decode(answer, Conflict)
             return Outcome(False, conflict.ledger, conflict.failed)
         log.error("commit refused: %d %r", status, answer[:200])
-        return Outcome(False, 0, [], malformed=True)
+        return Outcome(False, 0, [], malformed=True, no_lease=b"lease" in answer)
 
     @staticmethod
     def _decode(answer: bytes, shape: Any) -> Any:
