--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -81,6 +81,9 @@
         self.member, self.link = member, link
         self.seq = 0
         self.token = self.permit = 0
+        self.permit_at = Moment(1e18)  # when its lease was first heard of
+        self.ledger = self.roster = 0
+        self.known_until = Moment(-1e9)  # we know what it confirmed until then
         self.state_age = 0.0
         self.at = Moment(-1e9)
         self.machines: dict[str, PeerMachine] = {}
@@ -88,6 +91,11 @@
         self.complaints: frozenset[str] = frozenset()
         self.reasons: dict[str, str] = {}
 
+    def inherit(self, before: "PeerView") -> None:
+        """Keep what is true of the member and not only of one connection."""
+        self.permit, self.permit_at = before.permit, before.permit_at
+        self.ledger, self.known_until = before.ledger, before.known_until
+
 
 class Context:
     """State shared by election, owners, the leader and the fleet."""
@@ -111,6 +119,9 @@
         self.peers: dict[str, PeerView] = {}
         self.pending: dict[tuple[str, int], tuple[str, Job]] = {}
         self.finished: list[tuple[str, float]] = []
+        # Cancelled jobs that a sibling knows of, by revision, until our records show them.
+        self.handed: dict[JobId, int] = {}
+        self.handed_now: list[JobId] = []
         self.tell = False
         self._owners: dict[str, str | None] = {}
         self._owners_at = -1
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -160,6 +160,7 @@
         if envelope is None:
             return False
         summary.take(self.ctx, envelope)
+        self.owner.stop_handed()
         self.forwarding.outcomes(list(envelope.outcomes))
         self.forwarding.proposals(envelope.sender, list(envelope.proposals))
         return True
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from coursefold.coordination import jobs, summary
+from coursefold.coordination import cancellations, jobs, summary
 from coursefold.coordination.context import DRIFT, Context, Machine
 from coursefold.coordination.effects import Answer, Direct
 from coursefold.coordination.election import Election
@@ -17,7 +17,6 @@
 from coursefold.protocol.wire import Job, Order, Report, TaskReport
 from coursefold.storage.queue import LATER, SOON, Edit
 from coursefold.storage.records import (
-    CANCELLED,
     DEALT,
     LIVE,
     PLACED,
@@ -155,8 +154,10 @@
         """Without the state service: may we go on renewing our workers' leases?
 
         A cancellation may have been promised since we last heard from the state
-        service, unless the outage is everyone's. So without the siblings' word
-        we stop early enough for the worker's lease to end within `cancel_s`.
+        service: so we stop early enough for the worker's lease to end within `cancel_s`.
+        Longer only while every sibling is heard, is without it too, and has told us all
+        that it knew (`cancellations`): the bound counts from that moment then. That
+        nobody has the state service proves nothing by itself.
         """
         ctx = self.ctx
         workers = ctx.settings.params.workers
@@ -170,7 +171,11 @@
         peers = [p for p in ctx.peers.values() if ctx.now - p.at < HEARD_S]
         if silence > NEWS_S and any(p.state_age < 2.0 for p in peers):
             return False  # only we are refused: let the others have our workers
-        if len(peers) == len(ctx.settings.siblings) and all(p.state_age > 2.0 for p in peers):
+        if (
+            len(peers) == len(ctx.settings.siblings)
+            and all(p.state_age > 2.0 for p in peers)
+            and ctx.now - cancellations.known_until(ctx) < longest
+        ):
             return True
         if peers and silence > NEWS_S:
             self.company = ctx.follow_ok_at
@@ -215,8 +220,8 @@
         orders = []
         for item in r.tasks:
             task = parse_task(item.task)
-            job = ctx.view.jobs.get(task.job) if task else None
-            if job is not None and job.status == CANCELLED and item.state != "exited":
+            off = task is not None and cancellations.is_off(ctx, task.job)
+            if off and item.state != "exited":
                 orders.append(Order("stop", item.task, item.attempt, 0.0))
         m.answered = ctx.now
         ctx.out.append(Answer(ticket, 200, {"Baton": ctx.view.token, "Orders": orders}))
@@ -271,7 +276,7 @@
                 stops.append(Order("stop", item.task, item.attempt, 0.0))
                 continue
             job = ctx.view.jobs[JobId(place[0])]
-            if job.status == CANCELLED:
+            if cancellations.is_off(ctx, place[0]):
                 stops.append(Order("stop", item.task, item.attempt, 0.0))
             elif entry.stage == STOPPING and item.state != "flushing":
                 stops.append(Order("stop", item.task, item.attempt, self._grace(job)))
@@ -301,6 +306,8 @@
             return
         job = ctx.view.jobs[job_id]
         if job.status == LIVE and entry.stage == PLACED:
+            if cancellations.is_off(ctx, job_id):
+                return  # its own news decides what becomes of the place
             runs.append(Order("run", f"{job_id}/{entry.index}", entry.attempt))
             return
         # Proof of absence. A worker has one report in flight, so this one, newer than
@@ -393,6 +400,7 @@
         """What changed at once; the whole part twice a second."""
         ctx = self.ctx
         moved, ctx.view.moved = ctx.view.moved, {}
+        cancellations.prune(ctx)
         if not ctx.active():
             return
         for machine in moved:
@@ -426,6 +434,24 @@
             if quiet > FORGET_S and not ctx.view.on_machine(m.id):
                 self.depart(m.id)
 
+    def stop_handed(self) -> None:
+        """Stop what a sibling says is cancelled, also while we may decide nothing else.
+
+        A worker that does not report to us now gets the word all the same; one that has
+        seen a higher token than ours ignores it.
+        """
+        ctx = self.ctx
+        names, ctx.handed_now = ctx.handed_now, []
+        machines = {
+            e.machine: None
+            for name in names
+            if (job := ctx.view.jobs.get(name)) is not None
+            for e in job.entries
+        }
+        for machine in machines:
+            if (m := ctx.machines.get(machine)) is not None:
+                self._stop_now(m)
+
     def _stop_now(self, m: Machine) -> None:
         """Tell a worker to stop a task without waiting for its report.
 
@@ -439,8 +465,9 @@
             job = ctx.view.jobs[job_id]
             key = (job_id, entry.index, entry.attempt)
             listed = m.tasks.get((job_id, entry.index))
+            off = cancellations.is_off(ctx, job_id)
             if (
-                (job.status == CANCELLED or entry.stage == STOPPING)
+                (off or entry.stage == STOPPING)
                 and entry.session == m.session
                 and listed is not None
                 and listed.attempt == entry.attempt
@@ -448,7 +475,7 @@
                 and key not in m.told
             ):
                 m.told.add(key)
-                grace = 0.0 if job.status == CANCELLED else self._grace(job)
+                grace = 0.0 if off else self._grace(job)
                 orders.append(Order("stop", f"{job_id}/{entry.index}", entry.attempt, grace))
         if orders:
             ctx.out.append(Direct(m.addr, ctx.view.token, m.session, orders))
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -12,6 +12,7 @@
 
 from google.protobuf.message import DecodeError
 
+from coursefold.coordination import cancellations
 from coursefold.coordination.context import Context, PeerMachine, PeerView
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, Moment
@@ -126,6 +127,8 @@
         body.wanted.extend(sorted(wanted))
         body.complaints.extend(sorted(complaints))
         body.full, self.full = self.full, False
+        if ctx.view.loaded:
+            cancellations.tell(ctx, self.member, body.cancellations)
         rows = self.rows.get()
         for id, row in rows.items():
             if self.sent.get(id) != row:
@@ -191,14 +194,23 @@
     """Note what a sibling's frame says."""
     view = ctx.peers.get(envelope.sender)
     if view is None or envelope.link > view.link:
+        before = view
         view = ctx.peers[envelope.sender] = PeerView(envelope.sender, envelope.link)
+        if before is not None:
+            view.inherit(before)
     view.seq = envelope.seq
     view.at = ctx.now
     if not envelope.HasField("summary"):
         return
     body = envelope.summary
-    view.token, view.permit = body.token, body.permit
+    if body.permit != view.permit:
+        view.permit, view.permit_at = body.permit, ctx.now
+    view.token = body.token
     view.state_age = body.state_age_s + max(0.0, ctx.wall - envelope.sent_at)
+    if body.HasField("cancellations"):
+        skew = 2.0 * ctx.settings.params.skew_ms / 1000.0
+        late = max(0.0, ctx.wall - envelope.sent_at + skew)
+        cancellations.take(ctx, view, body.cancellations, Moment(ctx.now - late))
     for item in body.machines:
         machine = PeerMachine(
             item.id, item.build, item.zone, item.spot, item.session, ctx.now - item.silent_s
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -85,6 +85,7 @@
         self.waiting: dict[JobId, JobRecord] = {}
         self.dealt: dict[str, dict[tuple[JobId, int], Entry]] = {}
         self.usage: dict[str, list[float]] = {}
+        self.cancelled: dict[JobId, None] = {}  # those that still have tasks
         self.moved: dict[str, None] = {}  # machines, in order
         self._places: dict[str, dict[tuple[JobId, int], Entry]] = {}
         self._loads: dict[str, Load] = {}
@@ -242,6 +243,10 @@
                 self._revive(self.needs.add(name, after.needs, self._how(after.needs)))
         elif before is not None and before.needs:
             self.needs.remove(name)
+        if after is not None and after.status == records.CANCELLED:
+            self.cancelled[name] = None
+        else:
+            self.cancelled.pop(name, None)
         if after is None:
             self.waiting.pop(name, None)
         else:
--- a/tests/production.py
+++ b/tests/production.py
@@ -64,8 +64,8 @@
                 continue
             path = into / NAME / Path(member.name).relative_to("coursefold")
             path.parent.mkdir(parents=True, exist_ok=True)
-            # The generated module is the same in both, and its names are the protocol's.
-            text = source.read().decode()
+            # Each version's messages are those of its own time, so they have a pool of their own.
+            text = source.read().decode().replace("_pool.Default()", "_pool.DescriptorPool()")
             path.write_text(IMPORT.sub(rf"\1{NAME}", text), encoding="utf-8")
 
 
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -16,6 +16,8 @@
     reason job-1                                why a poll says that the job waits
     member n1 b / members                       n1 joins; who is in the roster
     peer n1 age=0.5                             n1 says when it last had the state service
+    peer n1 age=9 lease=same told=nothing       and that it knows of no cancellation but ours
+    peer n1 age=9 lease=same told=job-1         or of one that we do not know of
     listed i-9 running / unlisted i-9           the cloud lists a machine, or no longer
     direct                                      commands sent to workers' addresses
     called hire 2 / returned i-1                what the cloud was asked for
@@ -178,7 +180,14 @@
         fields = fields_of(words[1:])
         known = self.world.core.view.members.get(words[0])
         permit = known.permit if known and fields.get("lease") == "same" else 0
-        self.world.peer(self.world.peer_frame(words[0], float(fields["age"]), permit=permit))
+        told = {"none": None, "nothing": {}}.get(
+            fields.get("told", "none"), {fields.get("told", ""): 1}
+        )
+        extra = {key: fields[key] for key in ("lacks", "newer") if key in fields}
+        frame = self.world.peer_frame(
+            words[0], float(fields["age"]), permit=permit, told=told, **extra
+        )
+        self.world.peer(frame)
         return ""
 
     def do_members(self, words: list[str]) -> str:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -22,7 +22,7 @@
 from coursefold.storage.view import View
 from tests import test_fleet as days
 from tests.fleet import NODES, Broken, Fleet
-from tests.production import OURS, ROOT, Version, commit, production
+from tests.production import OURS, ROOT, Version, commit
 from tests.world import JOB, World
 
 SPEC = decode(encode(JOB | {"NameId": "job-1", "Pieces": 4}), Job)
@@ -30,11 +30,6 @@
 STATE = {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 16, "next": NEXT}
 
 
-@pytest.fixture(scope="session")
-def old(tmp_path_factory: pytest.TempPathFactory) -> Version:
-    return production(tmp_path_factory.mktemp("production"))
-
-
 # What each version makes of the other's records
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -289,9 +289,21 @@
         self.store.set(records.MEMBERS + member, [member, permit, zone], permit)
 
     def peer_frame(
-        self, member: str, state_age: float = 0.0, version: int = 2, permit: int = 0
+        self,
+        member: str,
+        state_age: float = 0.0,
+        version: int = 2,
+        permit: int = 0,
+        told: dict[str, int] | None = None,
+        lacks: int = 0,
+        newer: int = 0,
     ) -> bytes:
-        """A summary as a sibling would send it now."""
+        """A summary as a sibling would send it now.
+
+        `told` are the cancellations that it hands over, by how far ahead of our records each
+        is; None is an older version, which says nothing of them. `lacks` revisions after ours
+        it was not asked for, and its roster is `newer` than ours.
+        """
         self.frames += 1
         envelope = peer_pb2.Envelope(
             version=version, sender=member, sent_at=EPOCH + self.now, link=self.frames, seq=1
@@ -300,6 +312,12 @@
         envelope.summary.token = self.core.view.token
         envelope.summary.state_age_s = state_age
         envelope.summary.permit = permit
+        if told is not None:
+            known = envelope.summary.cancellations
+            known.ledger = known.since = self.core.view.ledger + lacks
+            known.roster = self.core.view.token + newer
+            for job, ahead in told.items():
+                known.jobs.add(job=job, stamp=known.since + ahead)
         return envelope.SerializeToString()
 
     def take_over(self, leader: str, zone: str) -> None:
