--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -60,7 +60,7 @@
 
     def __init__(self, name: str, body: dict[str, Any], run_s: float) -> None:
         self.name, self.body, self.run_s = name, body, run_s
-        self.accepted_at = self.cancelled_at = self.answered_at = -1.0
+        self.accepted_at = self.cancelled_at = self.answered_at = self.over_at = -1.0
         self.told = ""
         self.needs: list[UserJob] = []
         self.done: set[int] = set()
@@ -95,7 +95,7 @@
     def __init__(self, world: "Fleet", id: str, zone: str, spot: bool, up_at: float) -> None:
         self.world, self.id, self.zone, self.spot = world, id, zone, spot
         self.up_at, self.gone, self.deaf_until, self.cut_until = up_at, False, 0.0, 0.0
-        self.hung_until = 0.0
+        self.hung_until = self.mute_until = 0.0
         self.session, self.counter, self.token = 1, 0, 0
         self.lease_from = up_at
         self.tasks: dict[str, Task] = {}
@@ -134,7 +134,7 @@
         def send() -> None:
             world.request(target, lambda core, t: core.report(body, t), back, self._hears)
 
-        if world.now < self.cut_until:
+        if world.now < max(self.cut_until, self.mute_until):
             pass
         elif (held := world.held(self.zone, world.nodes[target].zone)) > 0:
             world.after(held, send)  # let go with all the others, when nobody waits for it
@@ -196,6 +196,7 @@
                 job, number = order.task.split("/")
                 if order.task not in world.tasks_of(job):
                     raise Broken(f"{order.task} is no task")
+                world.told_to_run(world.jobs[job])
                 fetch = world.rng.uniform(0.0, FETCH_S)
                 new = Task(world.jobs[job], int(number), order.attempt, world.now, fetch)
                 self.tasks[order.task] = new
@@ -231,6 +232,7 @@
             return
         if self._here(task) and task.state == "running":
             task.job.done.add(task.number)
+            self.world.ending(task.job)
             self._exit(task, "done")
             if task.job.gang:
                 self.world.gang_done(task)
@@ -510,13 +512,19 @@
         self.refused = 0
         self.rng = random.Random(seed)
         self.now = 0.0
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.events: list[tuple[float, int, Callable[[], object]]] = []
         self.count = 0
         self.params = SETTINGS["params"] | params
         self.store = StateStore()
         self.store.set(records.CATALOG, msgspec.to_builtins(self._catalog()))
         self.outage_until = self.cloud_down_until = self.peers_refused_until = 0.0
         self.lost_commits = self.copied = 0.0
+        self.kept_share = self.cancelled_at_end = self.up_at_once = 0.0
+        self.kept: list[bytes] = []  # copies of reports for the next leader
+        self.asked_at = 0.0  # when the question was asked whose answer comes in
+        self.looks = False
+        self.looked = self.called_off_at_end = self.odd_answers = 0
+        self.late_runs: list[tuple[float, str]] = []
         self.cut_zone, self.zone_until = "", 0.0
         self.capacity = {(z, spot): capacity // 4 for z in ZONES for spot in (False, True)}
         self.workers: dict[str, Worker] = {}
@@ -538,7 +546,7 @@
 
     # Time
 
-    def after(self, delay: float, work: Callable[[], None]) -> None:
+    def after(self, delay: float, work: Callable[[], object]) -> None:
         self.count += 1
         heapq.heappush(self.events, (self.now + delay, self.count, work))
 
@@ -558,6 +566,12 @@
         hears: Callable[[], bool],
     ) -> None:
         """A request to a node and its answer, each a little later."""
+        asked_at = self.now
+
+        def answered(answer: Answer | None) -> None:
+            if hears():
+                self.asked_at = asked_at
+                back(answer)
 
         def arrive() -> None:
             there = self.nodes[node]
@@ -568,7 +582,7 @@
                 return
             there.tickets += 1
             there.waiting[there.tickets] = lambda answer: self.after(
-                self.rng.uniform(0.001, 0.01), lambda: back(answer) if hears() else None
+                self.rng.uniform(0.001, 0.01), lambda: answered(answer)
             )
             send(there.enter(), there.tickets)
             there.flush()
@@ -587,6 +601,22 @@
                 ),
             )
 
+        if self.rng.random() < self.kept_share:
+            self.kept.append(body)
+
+    def let_go(self) -> int:
+        """What was kept of reports reaches every controller at once; nobody hears the answers."""
+        kept, self.kept = self.kept, []
+        for body in kept:
+            for number in range(NODES):
+                self.request(
+                    number,
+                    lambda core, t, body=body: core.report(body, t),  # type: ignore[misc]
+                    lambda _: None,
+                    lambda: True,
+                )
+        return len(kept)
+
     def held(self, one: str, other: str) -> float:
         """How long a message between two zones is held back."""
         return (
@@ -676,6 +706,8 @@
         for _ in range(count):
             id = f"i-{len(self.workers):06d}"
             boot = BOOT_S * self.rng.uniform(0.6, 1.5)
+            if self.rng.random() < self.up_at_once:
+                boot = self.rng.uniform(0.3, 2.0)
             worker = Worker(self, id, body["Site"], body["Loaners"], self.now + boot)
             self.workers[id] = worker
             self.after(boot, worker.report)
@@ -764,6 +796,8 @@
         if job.accepted_at < 0:
             job.accepted_at = self.now
         if job.over() and status != job.told:
+            if status not in ("done", "cancelled") and self.asked_at <= job.over_at:
+                return  # asked before, and overtaken on its way
             raise Broken(f"{job.name}: {job.told} and now {status}")
         if status == "done" and not job.complete():
             raise Broken(f"{job.name}: called done with {len(job.done)} of {job.size}")
@@ -773,7 +807,86 @@
             if job.cancelled_at < 0:
                 job.cancelled_at = self.now
                 self.after(WORKERS["cancel_s"] + 0.01, lambda: self._cancelled(job))
-        job.told = status
+        new, job.told = status != job.told, status
+        if new and job.over():
+            job.over_at = self.now
+        if new and self.looks:
+            self._look(job)
+
+    def _look(self, job: UserJob) -> None:
+        """Ask every node at once, twice within milliseconds, and submit it again."""
+        body = encode(job.body)
+
+        def seen(answer: Answer | None) -> None:
+            if answer is None or answer.status in (429, 503):
+                return
+            self.looked += 1
+            if answer.status not in (200, 201):
+                raise Broken(f"{job.name}: a look is answered {answer.status}")
+            self._told(job, answer)
+
+        for node in self.nodes:
+            for pause in (0.0, 0.004):
+                self.after(
+                    pause,
+                    lambda n=node.number: self.request(  # type: ignore[misc]
+                        n, lambda core, t: core.poll(job.name, t), seen, lambda: True
+                    ),
+                )
+            self.request(node.number, lambda core, t: core.submit(body, t), seen, lambda: True)
+
+    def ending(self, job: UserJob) -> None:
+        """A task ends: at times its job is called off at that very moment."""
+        if self.rng.random() < self.cancelled_at_end and not job.cancel:
+            self.called_off_at_end += 1
+            self.call_off(job, self.rng.choice(self.nodes))
+
+    def call_off(self, job: UserJob, node: Node) -> None:
+        """A user cancels a job at one node, and at another when that one does not answer."""
+        job.cancel = True
+        asked = [False]
+
+        def once(answer: Answer | None) -> None:
+            if asked[0]:
+                return
+            asked[0] = True
+            if answer is not None and answer.status == 200:
+                self._told(job, answer)
+            else:
+                self.after(0.5, lambda: self.call_off(job, self.rng.choice(self.nodes)))
+
+        self.request(node.number, lambda core, t: core.cancel(job.name, t), once, lambda: True)
+        self.after(3.0, lambda: once(None))
+
+    def odd_requests(self, node: Node) -> None:
+        """What can never run, or lacks a field, is never taken; nor is it unknown what is known."""
+        number = self.rng.randrange(10_000)
+        good = JOB | {"NameId": f"job-7{number:05d}"}
+        lacking = {k: v for k, v in good.items() if k != "Vcpus"}
+        for body, status in (
+            (good | {"Vcpus": 400.0}, 422),
+            (good | {"Owner": "nobody"}, 422),
+            (lacking, 400),
+            (good | {"Pieces": "many"}, 400),
+        ):
+
+            def answered(answer: Answer | None, status: int = status) -> None:
+                if answer is not None and answer.status not in (429, 503):
+                    self.odd_answers += 1
+                    if answer.status != status:
+                        raise Broken(f"an odd job is answered {answer.status}, not {status}")
+
+            self.request(
+                node.number,
+                lambda core, t, body=body: core.submit(encode(body), t),  # type: ignore[misc]
+                answered,
+                lambda: True,
+            )
+
+    def told_to_run(self, job: UserJob) -> None:
+        """A worker carries out a `run`: of a job whose cancellation was confirmed when?"""
+        if job.told == "cancelled" and job.cancel:
+            self.late_runs.append((self.now - job.cancelled_at, job.name))
 
     def _cancelled_before(self, job: UserJob) -> bool:
         """Has a user asked to cancel what this job needs? The answer may be on its way."""
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,8 +1,12 @@
 """Meetings of troubles: each is brought about, shown to have happened, and then to do no harm."""
 
+from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
+import pytest
+
 from coursefold.protocol.ids import JobId
 from coursefold.storage import records
 from tests.fleet import NODES, WORKERS, Fleet, Node
@@ -163,3 +167,201 @@
     fleet.run(fleet.outage_until + 10.0)
     assert fleet.on == running
     assert {w.session for w in fleet.workers.values()} == {1}
+
+
+# Users that look closely, while answers of transactions are lost
+
+
+def work(fleet: Fleet, number: int, run_s: float, **fields: Any) -> str:
+    name = f"job-5{number:05d}"
+    given: dict[str, Any] = {"Owner": "blue", "Loaners": True} | fields
+    fleet.submit(name, run_s, **given)
+    return name
+
+
+def settled(fleet: Fleet) -> None:
+    """After all troubles: each job is over or runs, and none waits beside room for it."""
+    for job in fleet.jobs.values():
+        if job.over():
+            continue
+        assert fleet.now - job.answered_at < 20.0, f"{job.name} is not answered about"
+        there = sum(1 for _, t in fleet.on.values() if t.job is job)
+        assert there == job.size - len(job.done), f"{job.name}: {there} of its tasks run"
+    # What outlives a confirmation by more than the news' way was on its way already.
+    assert all(late < 1.0 for late, _ in fleet.late_runs), fleet.late_runs
+
+
+def test_close_looks_where_answers_are_lost() -> None:
+    """Every node is asked twice within milliseconds, and the submission repeated."""
+    fleet = Fleet(11, capacity=120, teams=TEAMS)
+    fleet.run(20.0)
+    fleet.looks, fleet.lost_commits, fleet.cancelled_at_end = True, 0.25, 0.4
+    rng = fleet.rng
+    for number in range(60):
+        at = rng.uniform(0.0, 40.0)
+        fleet.after(
+            at, partial(work, fleet, number, rng.uniform(2.0, 8.0), Pieces=rng.randrange(1, 4))
+        )
+        if number % 3 == 0:
+            name = f"job-5{number:05d}"
+            late = at + rng.uniform(0.02, 12.0)
+            fleet.after(late, partial(off, fleet, name))
+    for at in range(0, 40, 2):
+        fleet.after(at, lambda: fleet.odd_requests(rng.choice(fleet.nodes)))
+    fleet.run(70.0)
+    fleet.lost_commits = 0.0
+    fleet.run(120.0)
+    settled(fleet)
+    ends = Counter(j.told for j in fleet.jobs.values())
+    assert ends["done"] >= 10 and ends["cancelled"] >= 10
+    assert fleet.looked > 1500 and fleet.called_off_at_end >= 10 and fleet.odd_answers >= 60
+
+
+def off(fleet: Fleet, name: str) -> None:
+    """Call a job off as soon as it is accepted."""
+    job = fleet.jobs[name]
+    if job.accepted_at < 0:
+        fleet.after(0.02, lambda: off(fleet, name))
+    elif not job.over():
+        fleet.call_off(job, fleet.rng.choice(fleet.nodes))
+
+
+# Teams at their limit, cancellations where machines do not answer, and another leader
+
+
+def change_leader(fleet: Fleet, back_s: float = 3.0) -> Node:
+    """The leader ends, and is back a little later; the node that led is returned."""
+    was = leader(fleet)
+    was.stop()
+    fleet.after(back_s, was.start)
+    return was
+
+
+def led_by_another(fleet: Fleet, was: Node) -> None:
+    now = leader(fleet)
+    assert now is not was
+
+
+FULL = [
+    {"name": "red", "gpus": 4.0, "gpus_max": 8.0},
+    {"name": "blue", "gpus": 10.0, "gpus_max": 40.0},
+]
+
+
+@pytest.mark.parametrize("how", ["hung_until", "cut_until", "mute_until", "deaf_until"])
+def test_at_the_limit_while_machines_do_not_answer(how: str) -> None:
+    """What is cancelled uses the limit until it is proven gone, whoever leads."""
+    fleet = Fleet(21, capacity=120, teams=FULL)
+    for number in range(14):
+        work(fleet, number, LONG, Pieces=6)
+    fleet.run(50.0)
+    assert fleet.used["blue"] == 40.0  # at the limit, and more waits
+    for worker in {w for w, _ in fleet.on.values()}:
+        setattr(worker, how, fleet.now + 22.0)
+    held = dict(fleet.on)
+    for name in sorted({t.job.name for _, t in held.values()})[:4]:
+        fleet.after(fleet.rng.uniform(0.0, 0.2), partial(off, fleet, name))
+    fleet.run(fleet.now + 0.3)
+    was = change_leader(fleet)
+    fleet.run(fleet.now + 2.7)
+    led_by_another(fleet, was)
+    gone = [t for _, t in held.values() if t.job.told == "cancelled"]
+    assert len(gone) >= 18  # confirmed while the machines did not answer and the leader changed
+    fleet.run(fleet.now + 87.0)  # every start is checked against the limit
+    assert fleet.used["blue"] == 40.0
+    settled_at_limit(fleet)
+
+
+def settled_at_limit(fleet: Fleet) -> None:
+    """The limit is in use again: no place of it has leaked."""
+    assert {t.job.told for _, t in fleet.on.values()} == {"running"}
+    assert all(late < 1.0 for late, _ in fleet.late_runs), fleet.late_runs
+
+
+def test_cancelled_while_work_changes_hands() -> None:
+    """Each controller ends in turn; jobs are cancelled in the seconds in which it is replaced."""
+    fleet = busy(31)
+    for number in range(24):
+        fleet.submit(f"job-6{number:02d}", LONG, Pieces=2, Owner="blue", Loaners=True)
+    fleet.run(fleet.now + 20.0)
+    names = sorted(j.name for j in fleet.jobs.values())
+    in_hand_over = 0
+    for node in fleet.nodes:
+        token = max(n.core.view.token for n in fleet.nodes)
+        node.stop()
+        fleet.after(2.0, node.start)
+        for _ in range(6):
+            fleet.after(fleet.rng.uniform(0.0, 4.0), partial(off, fleet, names.pop()))
+        fleet.run(fleet.now + 6.0)
+        assert max(n.core.view.token for n in fleet.nodes) > token
+        in_hand_over += sum(fleet.now - 6.0 < j.cancelled_at for j in fleet.jobs.values())
+    assert in_hand_over >= 24
+    fleet.run(fleet.now + 30.0)
+    settled(fleet)
+
+
+def test_reports_kept_for_the_next_leader() -> None:
+    """They show tasks that have ended or been stopped since, and machines that left."""
+    fleet = Fleet(41, capacity=120, teams=TEAMS)
+    for number in range(30):
+        work(fleet, number, fleet.rng.uniform(4.0, 15.0), Pieces=4)
+    fleet.run(18.0)
+    arrived = 0
+    for _ in range(4):
+        fleet.kept_share = 0.5
+        fleet.run(fleet.now + 6.0)
+        fleet.kept_share = 0.0
+        for worker in fleet.rng.sample([w for w in fleet.workers.values() if not w.gone], 3):
+            worker.kill()
+            fleet.capacity[(worker.zone, worker.spot)] += 1
+        was = change_leader(fleet)
+        token = was.core.view.token
+        while max(n.core.view.token for n in fleet.nodes) == token:
+            fleet.run(fleet.now + 0.05)
+        arrived += fleet.let_go()
+        fleet.run(fleet.now + 4.0)
+        led_by_another(fleet, was)
+    fleet.run(fleet.now + 60.0)
+    assert arrived > 40
+    settled(fleet)
+
+
+def test_machines_up_at_once_while_writes_lag_and_the_leader_ends() -> None:
+    fleet = Fleet(51, capacity=160, teams=TEAMS)
+    fleet.up_at_once, fleet.lost_commits = 0.6, 0.25
+    for number in range(30):
+        work(fleet, number, fleet.rng.uniform(5.0, 10.0), Pieces=6)
+    changes = 0
+    for at in (2.0, 5.0, 9.0, 15.0):
+        fleet.run(at)
+        if any(n.up and n.enter().ctx.leading() for n in fleet.nodes):
+            change_leader(fleet, 2.0)
+            changes += 1
+    assert changes >= 3
+    early = sum(w.up_at < 12.0 for w in fleet.workers.values())
+    assert early >= 10
+    fleet.run(40.0)
+    fleet.lost_commits = 0.0
+    fleet.run(140.0)
+    settled(fleet)
+    # Hired twice or lost from sight, machines would stay, or jobs would not end.
+    assert all(j.told == "done" for j in fleet.jobs.values())
+
+
+def test_four_small_jobs_a_second() -> None:
+    """A quarter of them is cancelled, at the state service's rate of the large deployments."""
+    fleet = Fleet(61, capacity=160, teams=TEAMS)
+    for number in range(240):
+        at = 20.0 + number / 4.0
+        fleet.after(at, partial(work, fleet, number, 4.0, Vcpus=4.0))
+        if number % 4 == 0:
+            name = f"job-5{number:05d}"
+            fleet.after(at + fleet.rng.uniform(0.1, 8.0), partial(off, fleet, name))
+    fleet.after(45.0, lambda: change_leader(fleet))
+    fleet.run(80.0)
+    asked = sum(j.accepted_at >= 0 for j in fleet.jobs.values())
+    assert asked >= 230
+    fleet.run(125.0)
+    settled(fleet)
+    assert all(j.over() for j in fleet.jobs.values())
+    assert sum(j.told == "cancelled" for j in fleet.jobs.values()) >= 40
