--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -598,7 +598,9 @@
         for wait in self.leader.queue(quota):
             spec = wait.job.spec
             count = min(wait.job.waiting_count, self.leader.most_entries())
-            while count > 0 and not quota.fits(spec, count):
+            # What its team's limit is kept for needs its machines once the limit has room.
+            kept = self.leader.keeps_quota(wait)
+            while count > 0 and not kept and not quota.fits(spec, count):
                 count = count - 1 if spec.shape == "array" else 0
             if count <= 0:
                 continue
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -16,7 +16,7 @@
 from coursefold.coordination.ordering import LONG_S, Order, Ordering
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import Picker, Refused, Room
-from coursefold.coordination.quota import Quota
+from coursefold.coordination.quota import Quota, limit_fits
 from coursefold.coordination.urgency import Urgency
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
@@ -30,6 +30,8 @@
 PACKED_BYTES = 24  # an entry in a record laid over several keys; measured: 8 to 16
 MOST_DEALT = 200  # tasks of one job in one round
 PATIENT_S = 20.0  # small work leaves room to work with accelerators for so long
+KEEP_S = 75.0  # a team's limit is kept for its oldest gang so long at a time
+PAUSE_S = 20.0
 ORPHANS = 8  # endings of jobs that need a cancelled one, written at a time
 
 
@@ -132,6 +134,24 @@
         at, name = min(waits, default=(self.ctx.wall, None))
         return name if self.ctx.wall - at > LONG_S else None
 
+    def keeps_quota(self, wait: Waiting) -> bool:
+        """Is the rest of its team's limit kept for this gang, which has waited longest?
+
+        Only while that can help: replicas end when their user says so, and what they take
+        is not waited for. And not for long at a time, for its team's other jobs would
+        otherwise wait beside free machines and under their limit.
+        """
+        spec = wait.job.spec
+        if wait.name != self.first or (wait.age - LONG_S) % (KEEP_S + PAUSE_S) >= KEEP_S:
+            return False
+        lasting = [0.0, 0.0]
+        for job in self.ctx.view.jobs.values():
+            if job.spec.team == spec.team and job.spec.shape == "standing":
+                lasting[0] += job.spec.cpus * len(job.entries)
+                lasting[1] += job.spec.gpus * len(job.entries)
+        team = next((t for t in self.ctx.settings.params.teams if t.name == spec.team), None)
+        return limit_fits(team, spec, spec.tasks, lasting)
+
     def tick(self) -> None:
         ctx = self.ctx
         if not ctx.leading():
@@ -394,7 +414,7 @@
             return
         if not quota.fits(job.spec, job.spec.tasks):
             self.reasons[name] = quota.why_not(job.spec)
-            if name == self.first:
+            if self.keeps_quota(wait):
                 # Else its team's small jobs, which fit what is left, would go on for ever.
                 quota.take(job.spec, job.spec.tasks)
             return
@@ -414,6 +434,10 @@
                 if room.owner != ctx.me and room.tasks == 0:
                     self._want(room)
             self.preemption.consider_gang(name, job, floor.rooms, wait.within, wait.age)
+            if self.keeps_quota(wait):
+                # Seen: machines for it were booting, and what its team's limit had just left
+                # free for it went to an array; so it waited again, for seven minutes in all.
+                quota.take(job.spec, job.spec.tasks)
             return
         for room in plan:
             room.take(job.spec)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -365,3 +365,46 @@
     settled(fleet)
     assert all(j.over() for j in fleet.jobs.values())
     assert sum(j.told == "cancelled" for j in fleet.jobs.values()) >= 40
+
+
+# A team's limit, kept for the gang that has waited longest
+
+
+def crowded(replicas: int, pieces: int) -> Fleet:
+    """One team's replicas and a stream of short arrays, and then a gang of 20 GPUs of 40."""
+    fleet = Fleet(71, capacity=160, teams=FULL)
+    service = {"Shape": "standing", "Rank": "prod", "Pieces": replicas, "Loaners": False}
+    work(fleet, 900, LONG, **service)
+    for number in range(200):
+        at = 1.4 * number
+        fleet.after(at, partial(work, fleet, number, 20.0, Pieces=pieces, Vcpus=4.0))
+    gang = {"Shape": "ensemble", "Pieces": 10, "Vcpus": 16.0, "Accelerators": 2.0}
+    fleet.after(30.0, partial(work, fleet, 901, 20.0, Together=True, **gang))
+    return fleet
+
+
+def longest_wait(fleet: Fleet) -> float:
+    """Of the arrays that have had time to start."""
+    waits = []
+    for job in fleet.jobs.values():
+        if job.body["Shape"] == "array" and 0 <= job.accepted_at < fleet.now - 90.0:
+            began = job.first_start if job.first_start >= 0 else fleet.now
+            waits.append(began - job.accepted_at)
+    assert len(waits) > 100
+    return max(waits)
+
+
+def test_the_limit_is_kept_for_a_gang_until_its_machines_are_there() -> None:
+    fleet = crowded(replicas=6, pieces=2)
+    fleet.run(290.0)
+    gang = fleet.jobs["job-500901"]
+    assert 180.0 < gang.first_start - gang.accepted_at < 270.0
+    assert longest_wait(fleet) < 90.0
+
+
+def test_the_limit_is_not_kept_for_a_gang_that_replicas_keep_out() -> None:
+    """They end when their user says so: small jobs must not wait for that."""
+    fleet = crowded(replicas=22, pieces=1)
+    fleet.run(330.0)
+    assert fleet.jobs["job-500901"].first_start < 0
+    assert longest_wait(fleet) < 60.0
