--- a/coursefold/coordination/gangs.py
+++ b/coursefold/coordination/gangs.py
@@ -78,6 +78,7 @@
         self._usable: dict[tuple[object, ...], list[Room]] = {}
         self._holding: dict[tuple[object, ...], list[Room]] = {}
         self._emptiest: dict[tuple[object, ...], dict[str, list[Room]]] = {}
+        self._places: dict[tuple[object, ...], int] = {}
 
     @staticmethod
     def _kind(spec: Job) -> tuple[object, ...]:
@@ -101,6 +102,24 @@
         found = self._holding[key] = [r for r in found if r.holds(spec) and not r.draining]
         return found
 
+    def possible(self, spec: Job) -> bool:
+        """Would the gang fit, alone, if all had ended that ends by itself?
+
+        Seen in the tests' own world: replicas held a part of each machine, the cloud had no
+        more, and machines were gathered for a gang that could never have them, while
+        arrays waited for minutes beside the other parts.
+        """
+        key = (*self._kind(spec), spec.together, spec.cpus, spec.gpus, spec.memory)
+        most = self._places.get(key)
+        if most is None:
+            by_zone: dict[str, int] = {}
+            for room in self.rooms:
+                if allowed(spec, room) and not (room.draining and not room.reserved):
+                    zone = room.zone if spec.together else ""
+                    by_zone[zone] = by_zone.get(zone, 0) + room.places(spec)
+            most = self._places[key] = max(by_zone.values(), default=0)
+        return most >= spec.tasks
+
     def reserve(self, spec: Job) -> list[Room]:
         """Rooms to keep free for a gang that does not fit yet: the emptiest of one zone.
 
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.demand import Runs
 from coursefold.coordination.ordering import LONG_S, Order, Ordering
 from coursefold.coordination.owner import Owner
-from coursefold.coordination.placement import Picker, Refused, Room
+from coursefold.coordination.placement import Picker, Refused, Room, fits_type
 from coursefold.coordination.quota import Quota, limit_fits
 from coursefold.coordination.urgency import Urgency
 from coursefold.protocol.ids import JobId
@@ -48,6 +48,16 @@
         self.slack = order.slack
 
 
+def may_use(spec: Job, place: tuple[str, str, bool]) -> bool:
+    """May the job's tasks run on such machines: type, zone, spot or ordinary?"""
+    build, zone, spot = place
+    return (
+        (spec.builds is None or build in spec.builds)
+        and (spec.zone is None or spec.zone == zone)
+        and (spec.spot or not spot)
+    )
+
+
 def merged(found: list[Waiting]) -> list[Waiting]:
     """Gangs, the small ones first, merged with all other work by everything but size.
 
@@ -253,22 +263,13 @@
         return found
 
     def _look_why(self, spec: Job) -> str:
-
-        def fits(place: tuple[str, str, bool]) -> bool:
-            build, zone, spot = place
-            return (
-                (spec.builds is None or build in spec.builds)
-                and (spec.zone is None or spec.zone == zone)
-                and (spec.spot or not spot)
-            )
-
-        booting = [place for place in self.booting if fits(place)]
+        booting = [place for place in self.booting if may_use(spec, place)]
         if booting:
             zones = {zone for _, zone, _ in booting}
             where = f" in {zones.pop()}" if len(zones) == 1 else ""
             count = "a machine" if len(booting) == 1 else f"{len(booting)} machines"
             return f"waiting for {count} to boot{where}"
-        if any(fits(place) for place in self.blocked):
+        if any(may_use(spec, place) for place in self.blocked):
             return "waiting for room on a machine: the cloud has no more of some kinds"
         return "waiting for room on a machine"
 
@@ -353,7 +354,8 @@
             if room is None:
                 if not (refused or job.spec.apart or job.spec.together):
                     self.refused.add(job.spec)
-                self.short.add(name)
+                if wait.age <= KEEP_S or not self._pauses():
+                    self.short.add(name)
                 self.reasons[name] = self._why_no_room(job)
                 self.preemption.consider(wait.name, job, index, rooms, wait.within, quota, wait.age)
                 break
@@ -426,13 +428,10 @@
             plan = gangs.fill(job.spec, floor.holding(job.spec), ctx.market(), self._slack(wait))
         if plan is None:
             self.gangs_refused[(*kind, *size)] = min(least, job.spec.tasks)
-            self.short.add(name)
             self.reasons[name] = f"{self._why_no_room(job)} ({job.spec.tasks} tasks at once)"
-            for room in floor.reserve(job.spec) if job.spec.gpus else ():
-                # In this round only: keeps lesser work off.
-                room.draining = room.reserved = True
-                if room.owner != ctx.me and room.tasks == 0:
-                    self._want(room)
+            if self._gathers(wait, floor):
+                self.short.add(name)
+                self._gather(job.spec, floor)
             self.preemption.consider_gang(name, job, floor.rooms, wait.within, wait.age)
             if self.keeps_quota(wait):
                 # Seen: machines for it were booting, and what its team's limit had just left
@@ -470,6 +469,37 @@
         if not ctx.queue.propose(edit):
             settled(False, "under way")
 
+    def _gathers(self, wait: Waiting, floor: gangs.Floor) -> bool:
+        """Is lesser work kept off machines for this gang, for which there is no room yet?
+
+        Not where it can not come to pass, and one that has waited for very long pauses
+        now and then: nobody is to wait for minutes beside a free machine.
+        """
+        if wait.age > LONG_S + KEEP_S and self._pauses():
+            return False
+        return floor.possible(wait.job.spec) or self._may_grow(wait.job.spec)
+
+    def _pauses(self) -> bool:
+        """The moments in which old reservations hold nobody back."""
+        return self.ctx.wall % (KEEP_S + PAUSE_S) >= KEEP_S
+
+    def _may_grow(self, spec: Job) -> bool:
+        """Are there machines that the job may use still to come?"""
+        catalog = self.ctx.view.catalog
+        kinds = [k for k in catalog.builds if fits_type(spec, k)] if catalog else []
+        names = {k.name for k in kinds}
+        places = {(k.name, z, spot) for k in kinds for z in k.zones for spot in (False, True)}
+        places -= self.blocked
+        places |= {place for place in self.booting if place[0] in names}
+        return any(may_use(spec, place) for place in places)
+
+    def _gather(self, spec: Job, floor: gangs.Floor) -> None:
+        for room in floor.reserve(spec) if spec.gpus else ():
+            # In this round only: keeps lesser work off.
+            room.draining = room.reserved = True
+            if room.owner != self.ctx.me and room.tasks == 0:
+                self._want(room)
+
     def _end_attempt(self, name: JobId, job: JobRecord) -> None:
         """A gang that lost a task: stop the rest, for the next attempt needs them all gone."""
         attempt = job.entries[0].attempt
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -28,6 +28,7 @@
         "images",
         "kept",
         "kind",
+        "lasting",
         "lent",
         "memory",
         "owner",
@@ -57,6 +58,7 @@
         self.images = images
         self.fetching = load.images  # shared until something is taken
         self.tasks = len(load.specs)
+        self.lasting = load.lasting
         self.lent = False
         self.draining = False
         self.kept = False  # tasks with accelerators wait for it
@@ -70,6 +72,16 @@
             and spec.memory <= self.memory + SLACK
         )
 
+    def places(self, spec: Job) -> int:
+        """Tasks of the job that would fit if all had ended that ends by itself."""
+        kind, (cpus, gpus, memory) = self.kind, self.lasting
+        amounts = (
+            (kind.cpus - cpus, spec.cpus),
+            (kind.gpus - gpus, spec.gpus),
+            (kind.memory - memory, spec.memory),
+        )
+        return int(min(((free + SLACK) / one for free, one in amounts if one), default=0.0))
+
     def take(self, spec: Job) -> None:
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -40,7 +40,7 @@
 class Load:
     """What the entries on one machine take together."""
 
-    __slots__ = ("cpus", "gpus", "images", "lowest", "memory", "specs")
+    __slots__ = ("cpus", "gpus", "images", "lasting", "lowest", "memory", "specs")
 
     def __init__(self, specs: list[Job]) -> None:
         self.specs = specs
@@ -49,6 +49,13 @@
         self.memory = sum(s.memory for s in specs)
         self.images = {s.image: s.image_gb for s in specs}
         self.lowest = max((RANKS[s.rank] for s in specs), default=-1)
+        # Replicas end only when their user says so.
+        lasting = [s for s in specs if s.shape == "standing"]
+        self.lasting = (
+            sum(s.cpus for s in lasting),
+            sum(s.gpus for s in lasting),
+            sum(s.memory for s in lasting),
+        )
 
 
 EMPTY = Load([])
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -408,3 +408,21 @@
     fleet.run(330.0)
     assert fleet.jobs["job-500901"].first_start < 0
     assert longest_wait(fleet) < 60.0
+
+
+def test_machines_are_not_gathered_for_a_gang_that_can_never_have_them() -> None:
+    """The cloud has no more, and replicas hold a part of each machine; arrays fit beside them."""
+    teams = [{"name": "blue", "gpus": 0.0, "gpus_max": 200.0}]
+    fleet = Fleet(81, capacity=80, teams=teams)
+    service = {"Shape": "standing", "Rank": "prod", "Pieces": 40, "Vcpus": 10.0}
+    work(fleet, 900, LONG, Loaners=False, **service)
+    fleet.run(40.0)
+    assert len(fleet.on) == len(fleet.workers) == 40
+    gang = {"Shape": "ensemble", "Rank": "urgent", "Pieces": 14, "Vcpus": 16.0, "Together": True}
+    for number in range(3):
+        work(fleet, 901 + number, 20.0, Accelerators=2.0, Loaners=False, **gang)
+    for number in range(120):
+        array = partial(work, fleet, number, 20.0, Vcpus=4.0, Loaners=False)
+        fleet.after(10.0 + number, array)
+    fleet.run(260.0)
+    assert longest_wait(fleet) < 60.0  # before: more than four minutes
