--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -83,6 +83,7 @@
         self.parameters = ctx.policy.parameters
         self.gains = Gains(self.parameters.kp, self.parameters.ki, self.parameters.kd)
         self.reign = 0
+        self.leads_since = 0.0
         cloud = ctx.settings.params.cloud
         self.budget = Budget(cloud.rps * 0.8, max(1.0, cloud.rps))
         self.calls: dict[int, tuple[str, Any]] = {}
@@ -295,6 +296,7 @@
             if self.reign == 0 or not self.known:
                 self._reset()
             self.reign = ctx.view.token
+            self.leads_since = ctx.now
             self.calls.clear()
             self.asked.clear()
             self.answered.clear()
@@ -351,7 +353,7 @@
                     if not pm.lost:
                         self._adopt(pm.id, pm.build, pm.zone, pm.spot)
         lease = ctx.settings.params.workers.lease_s
-        settled = ctx.now - ctx.token_since > lease * DRIFT + 4.0
+        settled = self._led_for() > lease * DRIFT + 4.0
         dark = self._dark(seen)
         for known in list(self.known.values()):
             if known.id in self.returned:
@@ -410,6 +412,16 @@
                     heard[known.zone] = heard.get(known.zone, 0) + 1
         return {z for z, n in up.items() if n >= DARK and 2 * heard.get(z, 0) < n}
 
+    def _led_for(self) -> float:
+        """For how long this node has led, under this roster and without a break.
+
+        Time without the state service does not count: owners keep their workers meanwhile,
+        and machines that changed hands just before may not have shown the new token. Seen
+        in a hunt: a minute's outage after a new roster was taken for a minute's silence,
+        and eight machines' tasks were started elsewhere while they ran.
+        """
+        return self.ctx.now - max(self.ctx.token_since, self.leads_since)
+
     def _renewable(self) -> float:
         """For how long after a new roster a former owner may still have renewed leases."""
         return self.ctx.settings.params.workers.cancel_s * DRIFT + 5.0
@@ -435,7 +447,7 @@
         roster = ctx.view.roster
         if not settled or roster is None:
             return
-        waited = ctx.now - ctx.token_since
+        waited = self._led_for()
         for machine in ctx.view.occupied():
             heard = seen.get(machine)
             if heard is not None and not (heard.lost and machine not in self.known):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -330,7 +330,11 @@
         return self.core
 
     def state_up(self) -> bool:
-        return self.world.now >= max(self.refused_until, self.cut_until, self.world.outage_until)
+        world = self.world
+        if world.now >= world.outage_until > world.resumed_at:
+            world.resumed_at = world.outage_until
+            world.store.resume(world.now)
+        return world.now >= max(self.refused_until, self.cut_until, world.outage_until)
 
     def _lease(self) -> None:
         if not self.state_up():
@@ -518,6 +522,7 @@
         self.store = StateStore()
         self.store.set(records.CATALOG, msgspec.to_builtins(self._catalog()))
         self.outage_until = self.cloud_down_until = self.peers_refused_until = 0.0
+        self.resumed_at = 0.0  # the end of the last outage after which leases were given their time
         self.lost_commits = self.copied = 0.0
         self.kept_share = self.cancelled_at_end = self.up_at_once = 0.0
         self.kept: list[bytes] = []  # copies of reports for the next leader
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -34,6 +34,11 @@
         self.leases[self.last_permit] = (now + life_ms / 1000, life_ms / 1000)
         return self.last_permit
 
+    def resume(self, now: float) -> None:
+        """An outage has ended: every lease has its full time again."""
+        for permit, (_, life) in self.leases.items():
+            self.leases[permit] = (now + life, life)
+
     def touch(self, now: float, permit: int) -> bool:
         self.expire(now)
         if permit not in self.leases:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -159,6 +159,25 @@
     assert later and all(fleet.jobs[name].told == "cancelled" for name in later)
 
 
+@pytest.mark.parametrize("seed", [7, 8, 11])
+def test_the_gap_where_the_leader_is_replaced_before_the_outage(seed: int) -> None:
+    """Its machines' new owners keep them all the time, and no leader takes them for gone.
+
+    Seen in a hunt: the time of the outage counted as silence, and what ran on machines
+    that had not shown the new token yet was started elsewhere (`ran_twice`).
+    """
+    gap = Gap(seed, refused_s=2.6)
+    fleet = gap.fleet
+    gap.first.refused_until = gap.until + 40.0
+    token = gap.first.core.view.token
+    fleet.run(gap.outage_at)
+    assert max(n.core.view.token for n in fleet.nodes) > token
+    fleet.run(gap.until)
+    running = {name: there for name, there in fleet.on.items() if not there[1].job.cancel}
+    fleet.run(gap.until + 60.0)  # each start is checked against what runs
+    assert {name: fleet.on.get(name) for name in running} == running
+
+
 def test_a_plain_outage_costs_no_lease() -> None:
     """Longer than `cancel_s`: each is told by all others that it lacks no cancellation."""
     fleet = busy(5)
