Accounts of where time and money went, from the controllers' logs

`coursefold accounts` reads debug logs and splits each task's way to its start, and each machine's cost by use. Log lines name what it needs: amounts of accepted jobs, machines of a hire, types with prices, the start of each task. No decision changes.

--- a/coursefold/cli.py
+++ b/coursefold/cli.py
@@ -4,7 +4,7 @@
 import os
 import sys
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any, NoReturn, TextIO
 
 import click
 
@@ -188,3 +188,17 @@
         click.echo(f"  {why}")
     elif answer.get("Status") == "pending":
         click.echo("  it is about to be placed")
+
+
+@main.command()
+@click.argument("logs", type=click.File(errors="replace"), nargs=-1, required=True)
+def accounts(logs: tuple[TextIO, ...]) -> None:
+    """Say where time and money went, from debug logs whose lines begin with seconds."""
+    from heapq import merge
+
+    from coursefold.accounts import LogReader, report, time_of
+
+    reader = LogReader()
+    reader.read(merge(*logs, key=time_of))
+    for line in report(reader):
+        click.echo(line)
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -272,8 +272,9 @@
         def settled(ok: bool, why: str) -> None:
             if ok:
                 log.info(
-                    "accept %s: %d tasks of %s for %s", spec.name, spec.tasks, spec.lane, spec.team
-                )
+                    "accept %s: %d tasks of %s for %s (%g cpus, %g accelerators, %g GB each)",
+                    spec.name, spec.tasks, spec.lane, spec.team, spec.cpus, spec.gpus, spec.memory,
+                )  # fmt: skip
                 self.ctx.out.append(Answer(ticket, 201, {"NameId": spec.name, "Status": "pending"}))
             elif why == "too large" and self.queue.later and not self.view.level:
                 self._later(ticket, "no room for so long a description before the upgrade", 5)
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -157,6 +157,11 @@
                 raise Void("same")
             return catalog
 
+        for kind in catalog.builds:
+            log.debug(
+                "type %s: %g cpus, %g accelerators, %g GB, %g an hour, %g when spot",
+                kind.name, kind.cpus, kind.gpus, kind.memory, kind.price, kind.spot_price,
+            )  # fmt: skip
         key = records.TYPES if self.ctx.view.level else records.CATALOG
         self.ctx.queue.propose(
             Edit(key, change, fence=self.ctx.view.token, rank=LATER, tag="catalog")
@@ -218,8 +223,9 @@
                 if name not in self.known and name not in self.returned:
                     self.known[name] = Known(name, pool.build, hire.zone, pool.spot, self.ctx.now)
             log.info(
-                "hire %s: %d of %d in %s %s", hire.name, len(machines), hire.count, pool, hire.zone
-            )
+                "hire %s: %d of %d in %s %s: %s",
+                hire.name, len(machines), hire.count, pool, hire.zone, ",".join(machines),
+            )  # fmt: skip
             if len(machines) < hire.count:
                 self._block(spot)
             else:
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -250,8 +250,10 @@
             if job is not None and item.state in ("running", "gathering", "flushing"):
                 kind = ctx.kind(m.build)
                 m.remember_image(job.spec.image, job.spec.image_gb, kind.cache_gb if kind else 0.0)
-            if item.state == "running":
-                m.running.setdefault((task.job, task.number, item.attempt), ctx.now)
+            attempt = (task.job, task.number, item.attempt)
+            if item.state == "running" and attempt not in m.running:
+                m.running[attempt] = ctx.now
+                log.debug("task %s#%d on %s runs", item.task, item.attempt, m.id)
         if m.tasks or ctx.view.on_machine(m.id):
             m.idle_since = ctx.now
 
