A machine that fell silent for a moment is not marked quiet for good

Cause: the mark was set by a chained comparison (a > b != c), which means two comparisons in Python, so it was turned over at every look while the machine was silent and never looked at again when it was heard. Half of the machines that had been silent for some seconds stayed marked: the leader gave them no tasks, and never returned them.

Excluded: the siblings' links (none was opened anew), the roster, machines that do not hear.

--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -431,8 +431,10 @@
                 log.info("machine %s: silent for %.1f s", m.id, quiet)
             if m.lost:
                 self._expire(m)
-            if ctx.now - m.heard > alive != m.quiet:
-                m.quiet = not m.quiet
+            # Written once as a chained comparison, which turned the mark over at every look:
+            # half of the machines that had fallen silent for a moment stayed marked for good,
+            # took no tasks from the leader, and were never returned.
+            m.quiet = ctx.now - m.heard > alive
             if quiet > FORGET_S and not ctx.view.on_machine(m.id):
                 self.depart(m.id)
 
