A job bound to a zone gets a machine there, whatever stands idle elsewhere

Cause: the pool's size counts machines of all zones, so idle ones of another zone covered what a job bound to this one asked for, and nothing was rented.

Test: seen to fail before.

`accounts` ends a machine when the cloud takes it.

--- a/coursefold/accounts.py
+++ b/coursefold/accounts.py
@@ -109,6 +109,7 @@
             (re.compile(r": machine (\S+) \(.*\) reports"), self._up),
             (re.compile(r": machine (\S+) (?:returned|is listed no more)"), self._gone),
             (re.compile(r": machine (\S+): silent for (\S+) s"), self._silent),
+            (re.compile(r": machine (\S+) will be taken in (\S+) s"), self._recalled),
             (re.compile(r": deal (\S+): (\S+): done"), self._deal),
             (re.compile(r": place (\S+) on (\S+)$"), self._place),
             (re.compile(r": task (\S+)/(\d+)#\d+ on (\S+) runs"), self._runs),
@@ -151,6 +152,9 @@
     def _silent(self, now: float, found: re.Match[str]) -> None:
         self._end_machine(found[1], now - float(found[2]))
 
+    def _recalled(self, now: float, found: re.Match[str]) -> None:
+        self._end_machine(found[1], now + float(found[2]))
+
     def _end_machine(self, name: str, at: float) -> None:
         machine = self.machines.get(name)
         if machine is not None and machine.gone_at is None:
--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -139,8 +139,9 @@
             base = float(optimum(rate, 1 / self.mean_run, self.price, eta, self.batch_factor))
         raised = self.busy + self.queued + max(self.backlog, self.gang)
         if self.apart:
-            # A gang has waited for room of one zone: what is free, half a machine here and
-            # a whole one in another zone, does not help it, so the pool grows from its size.
+            # A gang, or a job bound to a zone, has waited for room of one zone: what is free,
+            # half a machine here and a whole one in another zone, does not help it, so the
+            # pool grows from its size.
             raised = max(raised, self.machines * self.k + self.apart)
         return max(base + self.service, raised)
 
@@ -258,7 +259,7 @@
                     left = need.tasks - done
                     left -= self._relieved(need, left)
                     if left > 0:
-                        self._grow(spec, left, zones)
+                        self._grow(need, left, zones)
                     break
                 self._queue(spec, PoolId(room.kind.name, room.spot))
 
@@ -328,8 +329,9 @@
             demand.zones[zone] = demand.zones.get(zone, 0.0) + short * w
             return
 
-    def _grow(self, spec: Job, tasks: int, zones: dict[str, int]) -> None:
+    def _grow(self, need: Need, tasks: int, zones: dict[str, int]) -> None:
         """Ask the cheapest pool that can still grow; none can: the task just waits."""
+        spec = need.spec
         for pool in self.choices(spec):
             open_zones = self.open_zones(pool, spec)
             if spec.together and zones:
@@ -343,6 +345,8 @@
                     zone = min(open_zones, key=lambda z: (zones.get(z, 0), z))
                     zones[zone] = zones.get(zone, 0) + 1
                     demand.zones[zone] = demand.zones.get(zone, 0.0) + w
+                if spec.zone is not None and need.age > PATIENT_S:
+                    demand.apart += w
                 if spec.shape == "standing":
                     demand.service += w
                     demand.queued += w
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -67,6 +67,14 @@
     assert shares.total == pytest.approx(57.5)
 
 
+def test_a_machine_that_the_cloud_takes_ends_when_it_says() -> None:
+    reader = LogReader()
+    lines = LOG.splitlines()
+    reader.read([*lines[:-2], "   60.0 n1 INFO owner: machine i-1 will be taken in 9.0 s"])
+    (shares,) = money_shares(reader).values()
+    assert shares.total == pytest.approx(67.0)
+
+
 def test_the_command_reads_the_logs_of_all_controllers_in_order(tmp_path: Path) -> None:
     lines = LOG.splitlines(keepends=True)
     paths = [tmp_path / "n0.log", tmp_path / "n1.log"]
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -210,3 +210,17 @@
     assert (places == [names[0]]) == waits
     world.run(began + 50.0)
     assert names[0] in world.returned
+
+
+def test_a_job_bound_to_a_zone_gets_a_machine_there() -> None:
+    """Idle machines of another zone are no room for it, and no reason not to rent."""
+    world = World()
+    elsewhere = [f"i-elsewhere-{n}" for n in range(4)]
+    for at in range(1, 30):
+        for name in elsewhere:
+            world.report(name, [], Site="a", Counter=at)
+        if at == 3:
+            world.submit("job-1", Site="b")
+        world.run(world.now + 1.0)
+    rented = [body["Site"] for verb, body in world.calls if verb == "hire"]
+    assert rented == ["b"]
