The fleet's code in parts with one job each

coordination/fleet.py, 765 lines, becomes: fleet (what the cloud is asked for and when), cloud (requests within its rate, one type for what each was for), inventory (machines and what became of them), hires (rental requests), pools (the control loops). No behaviour changes; tests name the new attributes and assert what they did.

--- /dev/null
+++ b/coursefold/coordination/cloud.py
@@ -0,0 +1,114 @@
+"""Requests to the cloud: within its rate, few at a time, with what each one was for.
+
+The cloud refuses what goes beyond its rate and answers 503 while it is out; either pauses
+all requests for a moment. What was asked for stays with the owner of the request, who asks
+again.
+"""
+
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from coursefold.coordination.context import Context
+from coursefold.coordination.demand import PoolId
+from coursefold.coordination.effects import CloudCall
+from coursefold.storage.queue import Budget
+from coursefold.storage.records import Hire
+
+OWN_SHARE = 0.8  # of the cloud's rate; a former leader's last requests take some, too
+HIRES_AT_ONCE = 2
+RATE_PAUSE_S = 0.6
+OUTAGE_PAUSE_S = 1.5
+NO_ANSWER = 0
+
+
+class Verb(StrEnum):
+    """What the cloud can be asked for."""
+
+    CATALOG = "catalog"
+    LIST = "list"
+    HIRE = "hire"
+    RETURN = "return"
+
+
+class HireSubject(NamedTuple):
+    """A rental request that awaits its answer, and the pool that it is for."""
+
+    pool: PoolId
+    hire: Hire
+
+
+class ListSubject(NamedTuple):
+    """A page of the machine list, by the name that it begins after."""
+
+    page_from: str
+
+
+class ReturnSubject(NamedTuple):
+    """Machines that are being given back."""
+
+    machines: list[str]
+
+
+class CatalogSubject(NamedTuple):
+    """The machine types and their prices."""
+
+
+Subject = HireSubject | ListSubject | ReturnSubject | CatalogSubject
+
+
+class Pending(NamedTuple):
+    """A request that awaits its answer."""
+
+    verb: Verb
+    subject: Subject
+
+
+def has_no_capacity(status: int, body: bytes) -> bool:
+    """Did the cloud say that it has no such machines now?"""
+    return status == 503 and b"capacity" in body
+
+
+class CloudClient:
+    """Sends requests within the cloud's rate and keeps those that await an answer."""
+
+    def __init__(self, ctx: Context) -> None:
+        self.ctx = ctx
+        rate = ctx.settings.params.cloud.rps
+        self.budget = Budget(rate * OWN_SHARE, max(1.0, rate))
+        self.pending: dict[int, Pending] = {}
+        self.last_call = 0
+        self.pause_until = 0.0
+
+    def send(self, verb: Verb, body: dict[str, Any], subject: Subject) -> bool:
+        """Send a request; False if the rate or what is under way does not allow it now."""
+        ctx = self.ctx
+        if ctx.now < self.pause_until or self.budget.fill(ctx.now) < 1.0:
+            return False
+        most = HIRES_AT_ONCE if verb is Verb.HIRE else 1
+        if sum(1 for call in self.pending.values() if call.verb is verb) >= most:
+            return False
+        self.budget.take(ctx.now, 1.0)
+        self.last_call += 1
+        self.pending[self.last_call] = Pending(verb, subject)
+        ctx.out.append(CloudCall(self.last_call, verb, body))
+        return True
+
+    def answered(self, call: int, status: int, body: bytes) -> Pending | None:
+        """The request that an answer belongs to; None if it is no longer awaited."""
+        pending = self.pending.pop(call, None)
+        if pending is None:
+            return None
+        if status == 429:
+            self.pause_until = self.ctx.now + RATE_PAUSE_S
+        elif status == NO_ANSWER or (status == 503 and not has_no_capacity(status, body)):
+            self.pause_until = self.ctx.now + OUTAGE_PAUSE_S
+        return pending
+
+    def hires_under_way(self) -> set[str]:
+        """Names of the rental requests that await an answer."""
+        subjects = (call.subject for call in self.pending.values())
+        return {s.hire.name for s in subjects if isinstance(s, HireSubject)}
+
+    def forget(self) -> None:
+        """Drop what a former leadership asked for; late answers then change nothing."""
+        self.pending.clear()
--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -14,6 +14,7 @@
     NO_MARKET,
     Market,
     Picker,
+    Place,
     Refused,
     Room,
     fits_type,
@@ -163,7 +164,7 @@
         catalog: Catalog,
         runs: Runs,
         now: float,
-        blocked: dict[tuple[str, str, bool], float],
+        blocked: dict[Place, float],
         losses: dict[PoolId, float],
         window: float,
         market: Market = NO_MARKET,
@@ -200,7 +201,9 @@
     def open_zones(self, pool: PoolId, spec: Job) -> list[str]:
         """Zones where the pool could still grow for this job."""
         zones = self.pools[pool].kind.zones if spec.zone is None else [spec.zone]
-        return [z for z in zones if self.blocked.get((pool.build, z, pool.spot), 0.0) <= self.now]
+        return [
+            z for z in zones if self.blocked.get(Place(pool.build, z, pool.spot), 0.0) <= self.now
+        ]
 
     def arrived(self, spec: Job, tasks: int) -> None:
         """Count an arrival of the window; a pool that cannot grow takes what it has."""
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.demand import Runs
 from coursefold.coordination.ordering import LONG_S, Order, Ordering
 from coursefold.coordination.owner import Owner
-from coursefold.coordination.placement import Picker, Refused, Room, fits_type
+from coursefold.coordination.placement import Picker, Place, Refused, Room, fits_type
 from coursefold.coordination.quota import Quota, limit_fits
 from coursefold.coordination.urgency import Urgency
 from coursefold.protocol.ids import JobId
@@ -48,13 +48,12 @@
         self.slack = order.slack
 
 
-def may_use(spec: Job, place: tuple[str, str, bool]) -> bool:
+def may_use(spec: Job, place: Place) -> bool:
     """May the job's tasks run on such machines: type, zone, spot or ordinary?"""
-    build, zone, spot = place
     return (
-        (spec.builds is None or build in spec.builds)
-        and (spec.zone is None or spec.zone == zone)
-        and (spec.spot or not spot)
+        (spec.builds is None or place.build in spec.builds)
+        and (spec.zone is None or spec.zone == place.zone)
+        and (spec.spot or not place.spot)
     )
 
 
@@ -85,8 +84,8 @@
         self.wanted: dict[str, float] = {}
         self.reasons: dict[JobId, str] = {}
         self.short: set[JobId] = set()
-        self.booting: list[tuple[str, str, bool]] = []
-        self.blocked: set[tuple[str, str, bool]] = set()
+        self.booting: list[Place] = []
+        self.blocked: set[Place] = set()
         self.told: dict[JobId, str] = {}
         self.runs = Runs()
         self.ordering = Ordering(ctx.settings.params.objectives)
@@ -488,9 +487,9 @@
         catalog = self.ctx.view.catalog
         kinds = [k for k in catalog.builds if fits_type(spec, k)] if catalog else []
         names = {k.name for k in kinds}
-        places = {(k.name, z, spot) for k in kinds for z in k.zones for spot in (False, True)}
+        places = {Place(k.name, z, spot) for k in kinds for z in k.zones for spot in (False, True)}
         places -= self.blocked
-        places |= {place for place in self.booting if place[0] in names}
+        places |= {place for place in self.booting if place.build in names}
         return any(may_use(spec, place) for place in places)
 
     def _gather(self, spec: Job, floor: gangs.Floor) -> None:
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection, Iterable
 from heapq import heapify, heappop, heapreplace
 from math import inf
+from typing import NamedTuple
 
 from coursefold.protocol.wire import Job, MachineType
 from coursefold.storage.view import EMPTY, Load
@@ -15,6 +16,14 @@
 ALONE = 15.0  # seconds of fetching that it is worth not to pin another empty machine
 
 
+class Place(NamedTuple):
+    """Where machines can be had: a type, a zone, spot or ordinary."""
+
+    build: str
+    zone: str
+    spot: bool
+
+
 class Room:
     """A machine as a place for tasks, with what is still free on it."""
 
--- /dev/null
+++ b/coursefold/coordination/pools.py
@@ -0,0 +1,279 @@
+"""Pool sizes: the leader steers each pool of alike machines to c* by PID.
+
+Cioppino's control loop (sections 3.1, 3.2 and 4.2): what the queue asks for gives c*, the
+PID turns its distance from the pool's size into machines to rent or to give back, and lost
+machines are replaced at their recent average rate. See `docs/design.md`.
+"""
+
+import logging
+import math
+
+from coursefold.coordination.context import Context
+from coursefold.coordination.demand import Need, Planner, PoolDemand, PoolId, Runs
+from coursefold.coordination.hires import HireBook, pool_of
+from coursefold.coordination.inventory import SPARE, Inventory
+from coursefold.coordination.leader import Leader, Waiting
+from coursefold.coordination.pid import Gains, step
+from coursefold.coordination.placement import Place, Room
+from coursefold.coordination.quota import Quota
+from coursefold.coordination.stability import Losses
+from coursefold.policy import Adjustment
+from coursefold.policy.model import Env
+from coursefold.protocol.wire import Catalog, Job
+
+log = logging.getLogger(__name__)
+
+LONGEST_PERIOD_S = 10.0  # of one step of the loop, after a pause
+COUNTED_TASKS = 200  # of one job's arrival
+LEAST_DRIVE = 0.25  # slots; the integral's small share alone does not rent one more
+
+
+class PoolControl:
+    """One control loop for each pool."""
+
+    def __init__(self, ctx: Context, leader: Leader, inventory: Inventory, hires: HireBook) -> None:
+        self.ctx = ctx
+        self.leader = leader
+        self.inventory = inventory
+        self.hires = hires
+        self.parameters = ctx.policy.parameters
+        self.gains = Gains(self.parameters.kp, self.parameters.ki, self.parameters.kd)
+        self.clear()
+
+    def clear(self) -> None:
+        """Begin anew, as a new leader does; the integral starts at zero."""
+        self.errors: dict[PoolId, tuple[float, float]] = {}
+        self.runs = self.leader.runs = Runs()
+        self.arrivals: dict[str, tuple[float, Job]] = {}
+        self.fired: dict[PoolId, tuple[str, ...]] = {}
+
+    def plan(self, catalog: Catalog, elapsed: float) -> None:
+        """One step of all loops."""
+        ctx = self.ctx
+        for lane, seconds in ctx.finished:
+            self.runs.add(lane, seconds, ctx.now)
+        ctx.finished.clear()
+        losses = {pool: lost.rate(ctx.now) for pool, lost in self.inventory.losses.items()}
+        planner = Planner(
+            catalog, self.runs, ctx.now, self.hires.blocked, losses,
+            self.parameters.arrivals_window, ctx.market(),
+        )  # fmt: skip
+        self._count_machines(planner)
+        self._count_arrivals(planner)
+        needs = self._needs()
+        self._count_running(planner)
+        planner.pack(needs, self._all_rooms())
+        for pool, demand in planner.pools.items():
+            self._steer(pool, demand, elapsed)
+
+    # What there is, and what is asked for
+
+    def _count_machines(self, planner: Planner) -> None:
+        """Sizes of pools: machines that are up or will be soon, and unanswered hires."""
+        inventory = self.inventory
+        for machine in inventory.machines.values():
+            if machine.id in inventory.returning or machine.lost or machine.sick:
+                continue
+            if machine.pool in planner.pools and not inventory.is_late(machine):
+                planner.pools[machine.pool].machines += 1
+        for name, record in self.ctx.view.pools.items():
+            demand = planner.pools.get(pool_of(name))
+            if demand is not None:
+                demand.machines += sum(h.count for h in record.hires if h.machines is None)
+
+    def _count_arrivals(self, planner: Planner) -> None:
+        """Arrivals of the window; a job arrives when it may start."""
+        ctx = self.ctx
+        window = self.parameters.arrivals_window
+        for name, job in ctx.view.jobs.items():
+            if name in self.arrivals or ctx.view.needs.holds(name):
+                continue
+            since = ctx.view.since(name, job)
+            if ctx.wall - since < window:
+                self.arrivals[name] = (since, job.spec)
+        for seen, (at, spec) in list(self.arrivals.items()):
+            if ctx.wall - at > window:
+                del self.arrivals[seen]
+            else:
+                planner.arrived(spec, min(spec.tasks, COUNTED_TASKS))
+
+    def _needs(self) -> list[Need]:
+        """Tasks that wait, in queue order and within their teams' limits."""
+        ctx = self.ctx
+        quota = Quota(ctx.settings.params.teams, ctx.view.usage)
+        needs: list[Need] = []
+        for wait in self.leader.queue(quota):
+            count = self._within_limits(wait, quota)
+            if count <= 0:
+                continue
+            quota.take(wait.job.spec, count)
+            zones: dict[str, int] = {}
+            for entry in wait.job.entries:
+                zones[entry.zone] = zones.get(entry.zone, 0) + 1
+            needs.append(Need(wait.job.spec, count, zones, wait.slack, wait.age))
+        return needs
+
+    def _within_limits(self, wait: Waiting, quota: Quota) -> int:
+        """How many of a job's waiting tasks its record and its team's limit have room for."""
+        spec = wait.job.spec
+        count = min(wait.job.waiting_count, self.leader.most_entries())
+        # What its team's limit is kept for needs its machines once the limit has room.
+        if self.leader.keeps_quota(wait):
+            return count
+        while count > 0 and not quota.fits(spec, count):
+            count = count - 1 if spec.shape == "array" else 0
+        return count
+
+    def _count_running(self, planner: Planner) -> None:
+        for name in self.ctx.view.occupied():
+            machine = self.inventory.machines.get(name)
+            if machine is not None:
+                for spec in self.ctx.view.load(name).specs:
+                    planner.running(spec, machine.pool)
+
+    def _all_rooms(self) -> list[Room]:
+        """Free room now, and the machines that are about to be up."""
+        ctx = self.ctx
+        inventory = self.inventory
+        rooms = [r for r in ctx.rooms() if r.id not in inventory.returning]
+        have = {r.id for r in rooms}
+        for machine in inventory.machines.values():
+            kind = ctx.kind(machine.build)
+            if machine.id in have or machine.up or machine.id in inventory.returning:
+                continue
+            if kind and not inventory.is_late(machine):
+                rooms.append(Room(machine.id, kind, machine.zone, machine.spot, "", 0))
+        for room in rooms:
+            if room.lent and room.id in self.leader.wanted:
+                room.lent = False
+        return rooms
+
+    # The loop of one pool
+
+    def _steer(self, pool: PoolId, demand: PoolDemand, elapsed: float) -> None:
+        ctx = self.ctx
+        target = demand.target(self.parameters.eta)
+        size = demand.machines * demand.k
+        booting = (pool.build, pool.spot) in {(b, spot) for b, _, spot in self.leader.booting}
+        error = target - size
+        last, integral = self.errors.get(pool, (0.0, 0.0))
+        result = step(error, last, integral, self.gains, hold=booting, clamp=float(demand.k))
+        self.errors[pool] = (error, result.integral)
+        lost = self.inventory.losses.get(pool)
+        replaced = lost.due(ctx.now, elapsed, error > 0) if lost else 0
+        if target > 0 or demand.machines:
+            log.debug(
+                "pool %s: c*=%.1f c=%d u=%.1f arrivals=%.1f busy=%.1f queued=%.1f backlog=%.1f",
+                pool, target, size, result.drive, demand.arrivals, demand.busy, demand.queued,
+                demand.backlog,
+            )  # fmt: skip
+        ruled = self._ruled(pool, demand, target, lost)
+        want = self._whole_machines(demand, error, result.drive, replaced, ruled)
+        if want > 0:
+            self._rent(pool, demand, want)
+        elif want < 0:
+            self._give_back(pool, -want)
+
+    @staticmethod
+    def _whole_machines(
+        demand: PoolDemand, error: float, drive: float, replaced: int, ruled: Adjustment
+    ) -> int:
+        """Machines to rent, or, below zero, to give back."""
+        if drive > LEAST_DRIVE and error > 0:
+            steered = max(1, math.ceil(drive / demand.k - LEAST_DRIVE), replaced)
+            want = steered + max(0, ruled.recruit)
+        elif drive <= -demand.k and error <= -demand.k:
+            want = -int(-drive // demand.k) + ruled.recruit
+        else:
+            want = ruled.recruit
+        want = max(want, ruled.at_least - demand.machines)
+        if ruled.at_most is not None:
+            want = min(want, ruled.at_most - demand.machines)
+        return want
+
+    def _ruled(
+        self, pool: PoolId, demand: PoolDemand, target: float, lost: Losses | None
+    ) -> Adjustment:
+        """What the operators' rules ask of this pool; said once when it changes."""
+        ctx = self.ctx
+        if not ctx.policy.rules:
+            return Adjustment()
+        waits = [
+            ctx.now - room.idle_since
+            for room in ctx.rooms()
+            if (room.kind.name, room.spot) == pool and room.tasks == 0
+        ]
+        env: Env = {
+            "lambda": demand.arrivals / demand.window,
+            "mu": 1 / demand.mean_run,
+            "c": float(demand.machines * demand.k),
+            "cstar": target,
+            "busy": demand.busy,
+            "queue": demand.queued + demand.backlog + demand.gang,
+            "machines": float(demand.machines),
+            "price": demand.price * 3600.0,
+            "losses": lost.rate(ctx.now) * 3600.0 if lost else 0.0,
+            "idle": max(waits, default=0.0),
+            "spot": pool.spot,
+            "pool": str(pool),
+        }
+        adjustment = ctx.policy.adjust(env)
+        if adjustment.fired != self.fired.get(pool, ()):
+            self.fired[pool] = adjustment.fired
+            log.info("pool %s: rules in force: %s", pool, ", ".join(adjustment.fired) or "none")
+        return adjustment
+
+    def _rent(self, pool: PoolId, demand: PoolDemand, want: int) -> None:
+        """Rent whole machines, split over zones by what asked for them."""
+        if self.hires.is_writing(pool):
+            return
+        zones = [
+            zone
+            for zone in demand.kind.zones
+            if not self.hires.is_blocked(Place(pool.build, zone, pool.spot))
+        ]
+        if not zones:
+            return
+        for zone, count in self._split(pool, demand, zones, want).items():
+            self.hires.rent(pool, zone, count)
+
+    def _split(
+        self, pool: PoolId, demand: PoolDemand, zones: list[str], want: int
+    ) -> dict[str, int]:
+        """Machines to rent by zone: first what asks for a zone, then evenly."""
+        have = dict.fromkeys(zones, 0)
+        for machine in self.inventory.machines.values():
+            if machine.id in self.inventory.returning:
+                continue
+            if machine.pool == pool and machine.zone in have:
+                have[machine.zone] += 1
+        split = dict.fromkeys(zones, 0)
+        needs = {z: w / demand.k for z, w in demand.zones.items() if z in split}
+        for _ in range(want):
+            zone = max(needs, key=lambda z: needs[z]) if needs else ""
+            if not zone or needs[zone] <= 0:
+                zone = min(zones, key=lambda z: (have[z] + split[z], z))
+            else:
+                needs[zone] -= 1
+            split[zone] += 1
+        return split
+
+    def _give_back(self, pool: PoolId, most: int) -> None:
+        """Return machines that are empty and have been for a while."""
+        ctx = self.ctx
+        inventory = self.inventory
+        rooms = {r.id: r for r in ctx.rooms()}
+        spare = [
+            machine
+            for machine in inventory.machines.values()
+            if machine.pool == pool
+            and machine.id not in inventory.returning
+            and machine.id in rooms
+            and rooms[machine.id].tasks == 0
+            and ctx.now - rooms[machine.id].idle_since > self.parameters.idle
+            and not ctx.view.on_machine(machine.id)
+        ]
+        spare.sort(key=lambda machine: rooms[machine.id].idle_since)
+        for machine in spare[:most]:
+            log.info("machine %s is spare in %s", machine.id, pool)
+            inventory.returning[machine.id] = SPARE
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -10,7 +10,7 @@
 from coursefold.coordination.effects import CloudCall
 from coursefold.coordination.gangs import Floor
 from coursefold.coordination.ordering import LONG_S, Ordering
-from coursefold.coordination.placement import Market, Picker, Room
+from coursefold.coordination.placement import Market, Picker, Place, Room
 from coursefold.coordination.queueing import optimum
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Catalog, Job, decode, encode
@@ -120,7 +120,7 @@
     array = job(Lane="array", Vcpus=10.0, MemoryGb=54.0)
     replica = job(Lane="web", Shape="standing", Vcpus=5.0, MemoryGb=19.0)
     ctx._market, ctx._market_at = Market([SMALL, LARGE], [array, replica]), ctx.now
-    leader.booting, leader.up = [("g2", "a", False)], {"g8"}
+    leader.booting, leader.up = [Place("g2", "a", False)], {"g8"}
     assert leader._soon(replica)
     assert not leader._soon(array)
     leader.up = {"g2", "g8"}
@@ -138,7 +138,7 @@
     rows = [box | {"NameId": f"i-{n:06d}", "Status": "starting", "HeldS": 0.0} for n in range(3)]
     refused = iter([True, False])
     asked: list[str | None] = []
-    before = fleet.lists
+    before = fleet.lists_read
     fleet.list_at = -1e9
     for _ in range(16):
         world.now += 0.25
@@ -157,8 +157,8 @@
             else:
                 world.core.cloud(call.call, 200, encode({"Boxes": rows[2:], "More": False}))
     assert asked[:3] == [None, "i-000001", "i-000001"]
-    assert fleet.lists > before
-    assert {row["NameId"] for row in rows} <= set(fleet.known)
+    assert fleet.lists_read > before
+    assert {row["NameId"] for row in rows} <= set(fleet.inventory.machines)
 
 
 def test_what_gangs_have_in_common_is_found_once_and_rightly() -> None:
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -162,7 +162,8 @@
     node = world.core
     assert JobId("job-2") not in node.view.waiting
     assert node.view.jobs[JobId("job-2")].entries == []
-    assert "job-2" not in node.fleet.arrivals and "job-1" in node.fleet.arrivals
+    arrivals = node.fleet.pools.arrivals
+    assert "job-2" not in arrivals and "job-1" in arrivals
     assert sum(h.count for pool in hires.values() for h in pool.hires) == before
     answer = world.poll("job-2")
     assert answer is not None and answer.body["why"] == "waiting for job-1 to be done"
