Leases never outlive a cancellation that our news may lack, however short cancel_s is

Cause: while a controller's own lease holds, it renewed workers' leases on news up to 8 s old, whatever the settings. With cancel_s less than about 9 s above lease_s a cancellation promised by another node just after those news was broken. The age is now bounded by what the settings leave, and settings that leave less than 4 s are refused with one line.

Tests: seen to fail before.

--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -6,14 +6,16 @@
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, Member, Moment, WallTime
 from coursefold.protocol.wire import Catalog, Job, MachineType, TaskReport
-from coursefold.settings import Settings
+from coursefold.settings import CLOCK_DRIFT, Settings
 from coursefold.storage.queue import CommitQueue
 from coursefold.storage.records import MemberRecord, Roster
 from coursefold.storage.view import View
 
 MARKET_S = 3.0
 OWNERS = 20_000  # machines whose owner is remembered
-DRIFT = 1.002  # two clocks may each be off by 0.05%; this is twice that and more
+NEWS_AGE_S = 8.0  # news of the state service that are older are no ground for decisions
+KEPT_S = 1.0  # a lease that we renew ends this long before a promised cancellation has to hold
+DRIFT = CLOCK_DRIFT
 
 
 class Machine:
@@ -149,9 +151,22 @@
             and self.view.ledger >= self.view.token
             and self.now < self.lease_until
             and self.my_record() is not None
-            and self.now - self.follow_ok_at < 8.0
+            and self.now - self.follow_ok_at < self.news_age()
         )
 
+    def longest_renewal(self) -> float:
+        """For how long after our last news leases may be renewed, whatever was cancelled since.
+
+        A lease that is renewed then ends before a cancellation that was promised just after
+        those news has to hold.
+        """
+        workers = self.settings.params.workers
+        return workers.cancel_s - workers.lease_s * DRIFT - KEPT_S
+
+    def news_age(self) -> float:
+        """The age from which our news are too old to decide on, and to renew leases."""
+        return min(NEWS_AGE_S, self.longest_renewal())
+
     def leading(self) -> bool:
         roster = self.view.roster
         return roster is not None and roster.leader == self.me and self.active()
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -34,7 +34,6 @@
 # than `gang_wait_s`; the image is here now, and the attempt is not lost by it.
 AGAIN = frozenset({"busy", "incomplete"})
 
-KEPT_S = 1.0  # a lease that we renew ends this long before a promised cancellation has to hold
 ALONE_S = 8.0  # without state service and siblings: then it is most likely we who are cut off
 HEARD_S = 2.5
 NEWS_S = 4.0
@@ -73,7 +72,7 @@
             if owner is not None and self._stands_in(owner) and r.token <= ctx.view.token:
                 self._keep(r, ticket)
                 return
-            if ctx.now - ctx.follow_ok_at > 8.0 or owner is None:
+            if ctx.now - ctx.follow_ok_at > ctx.news_age() or owner is None:
                 self._refuse(ticket)
                 return
             self.election.knock(owner, r.machine)
@@ -160,13 +159,12 @@
         nobody has the state service proves nothing by itself.
         """
         ctx = self.ctx
-        workers = ctx.settings.params.workers
         if ctx.my_record() is None:
             return False
         # A lease counts from when the report was sent, which is before we answer it, and a
         # promise that we do not know of is younger than our last news. Seen: five seconds
         # held back here let a cut zone's leases end just before the cut did.
-        longest = workers.cancel_s - workers.lease_s * DRIFT - KEPT_S
+        longest = ctx.longest_renewal()
         silence = ctx.now - ctx.follow_ok_at
         peers = [p for p in ctx.peers.values() if ctx.now - p.at < HEARD_S]
         if silence > NEWS_S and any(p.state_age < 2.0 for p in peers):
--- a/coursefold/settings.py
+++ b/coursefold/settings.py
@@ -11,6 +11,8 @@
 Positive = Annotated[float, Meta(gt=0, le=1e6)]
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
 LEAST_KB = 0.5
+CANCEL_MARGIN_S = 5.0  # beyond a lease: the state service's next news may take 4 s
+CLOCK_DRIFT = 1.002  # two clocks may each be off by 0.05%; this is twice that and more
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
 
 
@@ -146,8 +148,11 @@
     workers = settings.params.workers
     if workers.lease_s <= workers.report_s:
         raise SettingsError("params.workers.lease_s: must exceed report_s")
-    if workers.cancel_s <= workers.lease_s:
-        raise SettingsError("params.workers.cancel_s: must exceed lease_s")
+    least = workers.lease_s * CLOCK_DRIFT + CANCEL_MARGIN_S
+    if workers.cancel_s < least:
+        # Closer together, no lease could be renewed between one news and the next without
+        # outliving a cancellation that was promised meanwhile.
+        raise SettingsError(f"params.workers.cancel_s: must be {least:g} or more with this lease_s")
 
 
 def _finite(value: object, path: str) -> None:
--- a/tests/test_questions.py
+++ b/tests/test_questions.py
@@ -2,12 +2,14 @@
 
 from typing import Any
 
+import pytest
+
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, Moment
 from coursefold.storage import records
 from coursefold.storage.records import Entry, JobRecord
 from coursefold.transport.state import StateClient
-from tests.world import World
+from tests.world import SETTINGS, World
 
 
 def record(world: World, name: str) -> JobRecord:
@@ -154,3 +156,20 @@
         world.run(world.now + 1.0)
     assert "i-5" in world.returned
     assert not any(e.machine == "i-5" for e in record(world, "job-1").entries)
+
+
+@pytest.mark.parametrize(("cancel_s", "renewed"), [(40.0, True), (16.0, False)])
+def test_no_lease_outlives_a_cancellation_that_our_news_lack(
+    monkeypatch: pytest.MonkeyPatch, cancel_s: float, renewed: bool
+) -> None:
+    """Our own lease is safe, but the news stopped 6 s ago; workers' leases take 10 s."""
+    workers = SETTINGS["params"]["workers"] | {"cancel_s": cancel_s}
+    monkeypatch.setitem(SETTINGS["params"], "workers", workers)
+    world = World()
+    world.run(1.0)
+    world.report("i-000000", [], Counter=1)
+    world.run(world.now + 1.0)
+    world.core.ctx.follow_ok_at = Moment(100.0 + world.now - 6.0)
+    answer = world.report("i-000000", [], Counter=2)
+    assert answer is not None
+    assert (answer.status == 200) == renewed
