--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -34,7 +34,7 @@
         self.running: dict[tuple[str, int, int], float] = {}
         self.images: dict[str, float] = {}
         self.failures: list[str] = []
-        self.told: set[tuple[str, int, int]] = set()
+        self.stops_sent: set[tuple[str, int, int]] = set()
         self.sick = False
         self.quiet = False
         self.proven = False  # has shown our token
@@ -90,7 +90,7 @@
         self.at = Moment(-1e9)
         self.machines: dict[str, PeerMachine] = {}
         self.wanted: frozenset[str] = frozenset()
-        self.complaints: frozenset[str] = frozenset()
+        self.unreachable_for_workers: frozenset[str] = frozenset()
         self.reasons: dict[str, str] = {}
 
     def inherit(self, before: "PeerView") -> None:
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -151,7 +151,7 @@
     def frame(self, member: str) -> bytes:
         """The next frame for a sibling; empty if there is nothing to say."""
         return self.tellers[member].frame(
-            set(self.leader.wanted), self.election.complaints(), self.leader.reasons
+            set(self.leader.wanted), self.election.unreachable_for_workers(), self.leader.reasons
         )
 
     def peer(self, frame: bytes) -> bool:
--- a/coursefold/coordination/election.py
+++ b/coursefold/coordination/election.py
@@ -20,8 +20,14 @@
 
 log = logging.getLogger(__name__)
 
-UNREACHABLE_S = 3.0
-GATHER_S = 0.6
+UNREACHABLE_S = 3.0  # a sibling that is not heard for longer may be gone
+JOINS_GATHERED_S = 0.6  # each roster is a new token that every worker has to show
+MISDIRECTED_WINDOW_S = 10.0
+MISDIRECTED_KEPT = 4  # reports of one worker
+MISDIRECTED_APART_S = 1.0  # a worker that comes twice within less is being redirected
+HEARD_AGAIN_S = 1.5
+EVICTED_AT_LEAST_S = 2.0
+CANDIDATE_STEP_S = 0.3  # between one candidate's attempt to lead and the next one's
 
 
 class Election:
@@ -30,26 +36,27 @@
     def __init__(self, ctx: Context, upgrade: Upgrade) -> None:
         self.ctx, self.upgrade = ctx, upgrade
         self.leaderless_since: float | None = None
-        self.knocks: dict[str, dict[str, list[float]]] = {}
+        # When workers came to us with reports for another owner, by owner and machine.
+        self.misdirected: dict[str, dict[str, list[float]]] = {}
         self.evicted: dict[str, float] = {}
         self.coming: list[MemberRecord] | None = None
         self.coming_at = self.coming_since = 0.0
 
-    def knock(self, owner: str, machine: str) -> None:
+    def note_misdirected(self, owner: str, machine: str) -> None:
         """A worker came to us although `owner` is the one to report to."""
-        times = self.knocks.setdefault(owner, {}).setdefault(machine, [])
+        times = self.misdirected.setdefault(owner, {}).setdefault(machine, [])
         times.append(self.ctx.now)
-        del times[:-4]
+        del times[:-MISDIRECTED_KEPT]
 
-    def complaints(self) -> set[str]:
+    def unreachable_for_workers(self) -> set[str]:
         """Members whose workers keep coming here: they cannot reach them."""
         found = set()
-        for owner, machines in self.knocks.items():
+        for owner, machines in self.misdirected.items():
             for machine, times in list(machines.items()):
-                recent = [t for t in times if t > self.ctx.now - 10.0]
+                recent = [t for t in times if t > self.ctx.now - MISDIRECTED_WINDOW_S]
                 if not recent:
                     del machines[machine]
-                elif len(recent) >= 2 and recent[-1] - recent[0] > 1.0:
+                elif len(recent) >= 2 and recent[-1] - recent[0] > MISDIRECTED_APART_S:
                     found.add(owner)
         return found
 
@@ -57,8 +64,8 @@
         peer = self.ctx.peers.get(member)
         return peer is not None and self.ctx.now - peer.at <= UNREACHABLE_S
 
-    def _blamed(self) -> set[str]:
-        """Members that workers cannot reach and that siblings do not hear.
+    def _unreachable(self) -> set[str]:
+        """Members that workers cannot reach and that we do not hear.
 
         Not hearing one means nothing where we hear nobody. Seen: siblings refused each
         other just after one was cut off, each took the others for gone, and the roster
@@ -68,19 +75,16 @@
         others = [name for name in ctx.view.members if name != ctx.me]
         if len(others) > 1 and not any(self._hears(name) for name in others):
             return set()
-        blamed = self.complaints()
+        reported = self.unreachable_for_workers()
         for peer in ctx.peers.values():
-            if ctx.now - peer.at < 3.0:
-                blamed |= peer.complaints
-        quiet = set()
-        for name in sorted(blamed):
-            if name != ctx.me and not self._hears(name):
-                quiet.add(name)
+            if ctx.now - peer.at < UNREACHABLE_S:
+                reported |= peer.unreachable_for_workers
         if ctx.started is None or ctx.now - ctx.started < UNREACHABLE_S + 1.0:
             return set()
-        return quiet
+        return {name for name in reported if name != ctx.me and not self._hears(name)}
 
     def tick(self) -> None:
+        """Join, keep the roster up to date while leading, or take over."""
         ctx = self.ctx
         if not ctx.view.loaded or not ctx.permit or ctx.now >= ctx.lease_until:
             return
@@ -90,43 +94,64 @@
             return
         if not self.upgrade.speaks(ctx.me):
             return  # what we wrote of our version is on its way
+        self._update_evicted()
         roster = ctx.view.roster
-        live = ctx.view.members
-        blamed = self._blamed()
-        for name in sorted(blamed):
+        members = self._eligible()
+        if roster is not None and roster.leader == ctx.me and ctx.my_record() is not None:
+            self.leaderless_since = None
+            self._maintain(roster, members)
+        elif roster is not None and self._leader_is_live(roster):
+            self.leaderless_since = None
+        else:
+            self._take_over(roster, members)
+
+    def _update_evicted(self) -> None:
+        """Evict members out of reach; take them back once they have been heard again."""
+        ctx = self.ctx
+        for name in sorted(self._unreachable()):
             if name not in self.evicted:
                 log.info("member %s is out of reach of its workers and of us", name)
             self.evicted[name] = ctx.now
         for name in list(self.evicted):
-            heard = ctx.peers.get(name)
-            back = heard is not None and ctx.now - heard.at < 1.5
-            if back and ctx.now - self.evicted[name] > 2.0:
+            peer = ctx.peers.get(name)
+            is_heard = peer is not None and ctx.now - peer.at < HEARD_AGAIN_S
+            if is_heard and ctx.now - self.evicted[name] > EVICTED_AT_LEAST_S:
                 del self.evicted[name]
-        members = [
-            live[n]
-            for n in sorted(live)
-            if n == ctx.me or (n not in self.evicted and self.upgrade.speaks(n))
+
+    def _eligible(self) -> list[MemberRecord]:
+        """Live members that may own machines, by name."""
+        live = self.ctx.view.members
+        return [
+            live[name]
+            for name in sorted(live)
+            if name == self.ctx.me or (name not in self.evicted and self.upgrade.speaks(name))
         ]
-        if roster is not None and roster.leader == ctx.me and ctx.my_record() is not None:
-            self.leaderless_since = None
-            # One that was given up may come back with an old version, and must not lead.
-            readable = bool(ctx.view.given_up) and roster.level < ctx.view.level
-            if readable or (members != roster.members and self._settled(members, roster)):
-                why = "closed to older versions" if readable else "membership changed"
-                self._commit(Roster(ctx.me, members, ctx.view.level), why)
-            return
-        leader = roster.member(roster.leader) if roster else None
-        if (
+
+    def _maintain(self, roster: Roster, members: list[MemberRecord]) -> None:
+        """Write a new roster when the members have changed."""
+        view = self.ctx.view
+        # One that was given up may come back with an old version, and must not lead.
+        closes = bool(view.given_up) and roster.level < view.level
+        if closes or (members != roster.members and self._settled(members, roster)):
+            why = "closed to older versions" if closes else "membership changed"
+            self._commit(Roster(self.ctx.me, members, view.level), why)
+
+    def _leader_is_live(self, roster: Roster) -> bool:
+        """Does the roster's leader still hold its lease, in the same incarnation, in reach?"""
+        leader = roster.member(roster.leader)
+        return (
             leader is not None
-            and live.get(leader.name) == leader
+            and self.ctx.view.members.get(leader.name) == leader
             and leader.name not in self.evicted
-        ):
-            self.leaderless_since = None
-            return
+        )
+
+    def _take_over(self, roster: Roster | None, members: list[MemberRecord]) -> None:
+        """Try to lead once our turn has come: candidates try one after the other."""
+        now = self.ctx.now
         if self.leaderless_since is None:
-            self.leaderless_since = ctx.now
-        if ctx.now - self.leaderless_since >= 0.3 * self._place(members, roster):
-            self._commit(Roster(ctx.me, members, ctx.view.level), "no leader")
+            self.leaderless_since = now
+        if now - self.leaderless_since >= CANDIDATE_STEP_S * self._place(members, roster):
+            self._commit(Roster(self.ctx.me, members, self.ctx.view.level), "no leader")
 
     def _settled(self, members: list[MemberRecord], roster: Roster) -> bool:
         """Is it time for a new roster? At once when a member has left; joins are gathered.
@@ -141,7 +166,11 @@
             self.coming, self.coming_at = members, now
         names = {m.name for m in members}
         gone = any(m.name not in names for m in roster.members)
-        if gone or now - self.coming_at >= GATHER_S or now - self.coming_since >= 3 * GATHER_S:
+        if (
+            gone
+            or now - self.coming_at >= JOINS_GATHERED_S
+            or now - self.coming_since >= 3 * JOINS_GATHERED_S
+        ):
             self.coming = None
             return True
         return False
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -95,7 +95,7 @@
         self.short: set[JobId] = set()
         self.booting: list[Place] = []
         self.blocked: set[Place] = set()
-        self.told: dict[JobId, str] = {}
+        self.logged_reasons: dict[JobId, str] = {}
         self.runs = Runs()
         self.ordering = Ordering(ctx.settings.params.objectives)
         self.urgency = Urgency(ctx, lambda spec: self.runs.mean(spec, ctx.now))
@@ -286,11 +286,15 @@
         ctx = self.ctx
         for name, why in self.reasons.items():
             job = ctx.view.jobs.get(name)
-            if job and ctx.wall - ctx.view.since(name, job) > 5.0 and self.told.get(name) != why:
+            if (
+                job
+                and ctx.wall - ctx.view.since(name, job) > 5.0
+                and self.logged_reasons.get(name) != why
+            ):
                 log.info("%s waits: %s", name, why)
-                self.told[name] = why
-        for name in [n for n in self.told if n not in ctx.view.jobs]:
-            del self.told[name]
+                self.logged_reasons[name] = why
+        for name in [n for n in self.logged_reasons if n not in ctx.view.jobs]:
+            del self.logged_reasons[name]
 
     def _undeal_lost(self) -> None:
         """Deals to owners that are no longer members go back into the queue."""
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -56,7 +56,8 @@
         self.swept_token = -1
         self.departed: dict[str, tuple[int, int]] = {}
         self.watched: set[str] = set()
-        self.company = -1.0
+        # The news under which a sibling was heard that lacks the state service as well.
+        self.sibling_heard_at_news = -1.0
 
     # Reports
 
@@ -75,7 +76,7 @@
             if ctx.now - ctx.follow_ok_at > ctx.news_age() or owner is None:
                 self._refuse(ticket)
                 return
-            self.election.knock(owner, r.machine)
+            self.election.note_misdirected(owner, r.machine)
             ctx.out.append(Answer(ticket, 421, {"Foreman": owner}))
             return
         if r.token > ctx.view.token or not ctx.active():
@@ -88,7 +89,7 @@
         if m is None or (r.session, r.counter) <= (m.session, m.counter):
             self._refuse(ticket)  # late or reordered: its list is as old as it is
             return
-        self._heed(m, r)
+        self._check_hearing(m, r)
         self._take(m, r)
         orders = self._orders(m, r)
         m.answered = ctx.now
@@ -118,7 +119,7 @@
             while len(self.departed) > DEPARTED:
                 del self.departed[next(iter(self.departed))]
 
-    def _heed(self, m: Machine, r: Report) -> None:
+    def _check_hearing(self, m: Machine, r: Report) -> None:
         """Does the machine hear us? Its reports alone do not say so.
 
         A machine whose way in is cut goes on reporting, and a copy of an old report
@@ -176,9 +177,9 @@
         ):
             return True
         if peers and silence > NEWS_S:
-            self.company = ctx.follow_ok_at
-        alone = not peers and ctx.settings.siblings and self.company != ctx.follow_ok_at
-        if alone:
+            self.sibling_heard_at_news = ctx.follow_ok_at
+        was_alone = self.sibling_heard_at_news != ctx.follow_ok_at
+        if not peers and ctx.settings.siblings and was_alone:
             # Neither the state service nor any sibling: the others, who may have both,
             # can take our workers over before their leases end, if we let them go.
             return silence < min(ALONE_S, longest)
@@ -229,7 +230,7 @@
         ctx = self.ctx
         if r.session != m.session:
             m.running.clear()
-            m.told.clear()
+            m.stops_sent.clear()
             m.images.clear() if m.session == 0 else None
         m.session, m.counter, m.token = r.session, r.counter, r.token
         m.heard, m.addr, m.lost = ctx.now, r.addr, False
@@ -474,9 +475,9 @@
                 and listed is not None
                 and listed.attempt == entry.attempt
                 and listed.state not in ("exited", "flushing")
-                and key not in m.told
+                and key not in m.stops_sent
             ):
-                m.told.add(key)
+                m.stops_sent.add(key)
                 grace = 0.0 if off else self._grace(job)
                 orders.append(Order("stop", f"{job_id}/{entry.index}", entry.attempt, grace))
         if orders:
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -94,7 +94,7 @@
     def waits(self) -> bool:
         return bool(self.urgent or self.proposals or self.outcomes)
 
-    def frame(self, wanted: set[str], complaints: set[str], reasons: dict[JobId, str]) -> bytes:
+    def frame(self, wanted: set[str], unreachable: set[str], reasons: dict[JobId, str]) -> bytes:
         """The next frame; empty if there is nothing to say."""
         ctx = self.ctx
         due = self.full or self.urgent or ctx.now - self.told_at >= SUMMARY_S
@@ -110,14 +110,14 @@
         if due:
             self.urgent = False
             self.told_at = ctx.now
-            self._summary(out.summary, wanted, complaints, reasons)
+            self._summary(out.summary, wanted, unreachable, reasons)
         return out.SerializeToString()
 
     def _summary(
         self,
         body: peer_pb2.Summary,
         wanted: set[str],
-        complaints: set[str],
+        unreachable: set[str],
         reasons: dict[JobId, str],
     ) -> None:
         ctx = self.ctx
@@ -125,7 +125,7 @@
         body.permit = ctx.permit
         body.state_age_s = max(0.0, ctx.now - ctx.state_ok_at)
         body.wanted.extend(sorted(wanted))
-        body.complaints.extend(sorted(complaints))
+        body.complaints.extend(sorted(unreachable))
         body.full, self.full = self.full, False
         if ctx.view.loaded:
             cancellations.tell(ctx, self.member, body.cancellations)
@@ -224,7 +224,7 @@
     for id in body.dropped:
         view.machines.pop(id, None)
     view.wanted = frozenset(body.wanted)
-    view.complaints = frozenset(body.complaints)
+    view.unreachable_for_workers = frozenset(body.complaints)
     for name, why in body.reasons.items():
         if why:
             view.reasons[name] = why
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -83,7 +83,7 @@
         for _ in range(3):
             world.report(machine, [], Site="b")
             world.run(world.now + 0.6)
-    assert "n1" in world.core.election.complaints()
+    assert "n1" in world.core.election.unreachable_for_workers()
     assert world.core.view.token == token
     world.peer(world.peer_frame("n2", 0.2))  # one that we hear is a witness
     world.run(world.now + 1.0)
