--- a/coursefold/settings.py
+++ b/coursefold/settings.py
@@ -121,6 +121,14 @@
     return host, int(port)
 
 
+def _check_value_size(state: StateLimits) -> None:
+    """A packed record's head has to hold its own frame and some of the text."""
+    if state.value_kb < LEAST_KB:
+        raise SettingsError(f"params.state.value_kb: must be at least {LEAST_KB:g}")
+    if state.later().value_kb < LEAST_KB:
+        raise SettingsError(f"params.state.next.value_kb: must be at least {LEAST_KB:g}")
+
+
 def _check(settings: Settings) -> None:
     """What a type alone cannot say."""
     addresses = {
@@ -141,10 +149,7 @@
     names = [settings.member, *(s.member for s in settings.siblings)]
     if len(set(names)) != len(names):
         raise SettingsError("siblings: member names are not all different")
-    later = settings.params.state.later()
-    if later.value_kb < LEAST_KB:
-        # A packed record's head has to hold its own frame and some of the text.
-        raise SettingsError(f"params.state.next.value_kb: must be at least {LEAST_KB:g}")
+    _check_value_size(settings.params.state)
     workers = settings.params.workers
     if workers.lease_s <= workers.report_s:
         raise SettingsError("params.workers.lease_s: must exceed report_s")
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -17,7 +17,7 @@
 from coursefold.storage import records
 from coursefold.storage.queue import NotApplicableError
 from coursefold.storage.records import PLACED, Entry, JobRecord
-from tests.world import CATALOG, JOB, World
+from tests.world import CATALOG, JOB, SETTINGS, World
 
 SMALL = decode(encode(CATALOG), Catalog).builds[0]
 LARGE = decode(
@@ -225,3 +225,24 @@
         world.run(world.now + 1.0)
     rented = [body["Site"] for verb, body in world.calls if verb == "hire"]
     assert rented == ["b"]
+
+
+def test_a_fleet_without_accelerators_and_a_zone_without_a_controller(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Both are served: machines are rented in that zone too, and tasks run there."""
+    kind = CATALOG["Builds"][0] | {"Accelerators": 0.0, "Sites": ["c"]}
+    monkeypatch.setitem(CATALOG, "Builds", [kind])
+    monkeypatch.setitem(SETTINGS["params"], "zones", ["a", "b", "c"])
+    world = World()
+    world.submit("job-1", Accelerators=0.0)
+    world.run(world.now + 8.0)
+    hires = [body for verb, body in world.calls if verb == "hire"]
+    assert [(hire["Site"], hire["Count"]) for hire in hires] == [("c", 1)]
+    (machine,) = world.hired[hires[0]["Hire"]]
+    for at in (1, 2):
+        world.report(machine, [], Site="c", Counter=at)
+        world.run(world.now + 1.0)
+    answer = world.report(machine, [], Site="c", Counter=3)
+    assert answer is not None
+    assert [(order.verb, order.task) for order in answer.body["Orders"]] == [("run", "job-1/0")]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -72,6 +72,7 @@
         ("txn_ops = 16", 'txn_ops = 16\nnext = "soon"', "params.state.next"),
         ("lease_s = 10.0", "lease_s = 1.0", "params.workers.lease_s"),
         ("cancel_s = 40.0", "cancel_s = 15.0", "params.workers.cancel_s"),
+        ("value_kb = 8.0", "value_kb = 0.2", "params.state.value_kb"),
         ('zone = "a"\nlisten', 'zone = "q"\nlisten', "zone"),
         ('state = "127.0.0.1:2"', "", "services"),
         ('"127.0.0.1:8080"', '"nowhere"', "listen"),
