No fixed bound below 4,000 machines; rows to siblings by what changed

Need: users run 4,000 machines. Several bounds lay below what that takes, or were passed in silence: the policy's counts (1,000 machines, 10 a step), the search for c* (20,000 slots; 4,000 machines of eight have 32,000), departed machines and removals remembered (2,000), reasons beyond 500 and run times beyond 400 never told, cancellations in a frame, and a frame of rows: one controller with some 6,000 rows would have ended its own connection for ever.

Rows go in frames of 512 KiB at most; `more` says that others follow, and until then no machine counts as missing. Rows remember in which order they changed, so a frame costs by that. tests/test_limits.py goes past each bound and fills 4,000 machines on cheap ticks; tests/measure_size.py measures.

Not linear yet: what is left goes through all machines in rounds of 1.5 ms.

--- a/coursefold/coordination/cancellations.py
+++ b/coursefold/coordination/cancellations.py
@@ -24,10 +24,18 @@
 
 log = logging.getLogger(__name__)
 
-MOST = 1000  # told in one frame: some 30 KiB
+LEAST_TOLD = 1000  # in one frame, at 30 bytes each
+MOST_TOLD = 8000  # 240 KiB
+CONFIRMED_S = 10.0  # a listener's records are seldom older while there is a state service
 AHEAD = 1000  # revisions that a sibling may be ahead of us at any time
 
 
+def most_told(ctx: Context) -> int:
+    """Cancellations in one frame: more than are confirmed before a listener's next news."""
+    rate = ctx.settings.params.state.write_rps
+    return min(MOST_TOLD, max(LEAST_TOLD, int(CONFIRMED_S * rate)))
+
+
 def tell(ctx: Context, member: str, body: peer_pb2.Cancellations) -> None:
     """What we know and the sibling, by its own last word, may not."""
     view = ctx.view
@@ -36,9 +44,10 @@
     body.since = peer.ledger if peer else 0
     stamps = [(view.stamp(job_key(name)), name) for name in view.cancelled]
     found = sorted(((s, n) for s, n in stamps if s > body.since), reverse=True)
-    if len(found) > MOST:
-        body.since = found[MOST][0]  # the sibling sees that it was not told all
-    for stamp, name in found[:MOST]:
+    most = most_told(ctx)
+    if len(found) > most:
+        body.since = found[most][0]  # the sibling sees that it was not told all
+    for stamp, name in found[:most]:
         if stamp > body.since:
             body.jobs.add(job=name, stamp=stamp)
 
@@ -49,7 +58,7 @@
     silence = max(0.0, ctx.now - ctx.follow_ok_at)
     latest = ctx.view.ledger + AHEAD + int(4 * state.write_rps * (silence + 10.0))
     return (
-        len(told.jobs) <= MOST
+        len(told.jobs) <= most_told(ctx)
         and told.ledger <= latest
         and told.roster <= latest
         and all(is_job_id(c.job) and told.since < c.stamp <= latest for c in told.jobs)
--- a/coursefold/coordination/cloud.py
+++ b/coursefold/coordination/cloud.py
@@ -5,6 +5,7 @@
 again.
 """
 
+import math
 from enum import StrEnum
 from typing import Any, NamedTuple
 
@@ -15,7 +16,8 @@
 from coursefold.storage.records import Hire
 
 OWN_SHARE = 0.8  # of the cloud's rate; a former leader's last requests take some, too
-HIRES_AT_ONCE = 2
+LEAST_HIRES_AT_ONCE = 2
+SLOW_ANSWER_S = 0.2  # an answer of the cloud may take so long; then the rate is still used up
 RATE_PAUSE_S = 0.6
 OUTAGE_PAUSE_S = 1.5
 NO_ANSWER = 0
@@ -78,13 +80,14 @@
         self.pending: dict[int, Pending] = {}
         self.last_call = 0
         self.pause_until = 0.0
+        self.most_hires = max(LEAST_HIRES_AT_ONCE, math.ceil(rate * OWN_SHARE * SLOW_ANSWER_S))
 
     def send(self, verb: Verb, body: dict[str, Any], subject: Subject) -> bool:
         """Send a request; False if the rate or what is under way does not allow it now."""
         ctx = self.ctx
         if ctx.now < self.pause_until or self.budget.fill(ctx.now) < 1.0:
             return False
-        most = HIRES_AT_ONCE if verb is Verb.HIRE else 1
+        most = self.most_hires if verb is Verb.HIRE else 1
         if sum(1 for call in self.pending.values() if call.verb is verb) >= most:
             return False
         self.budget.take(ctx.now, 1.0)
--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -89,6 +89,7 @@
         self.state_age = 0.0
         self.at = Moment(-1e9)
         self.machines: dict[str, PeerMachine] = {}
+        self.complete = False  # all its rows have come
         self.wanted: frozenset[str] = frozenset()
         self.unreachable_for_workers: frozenset[str] = frozenset()
         self.reasons: dict[str, str] = {}
--- a/coursefold/coordination/inventory.py
+++ b/coursefold/coordination/inventory.py
@@ -153,7 +153,8 @@
         for peer in ctx.peers.values():
             if ctx.now - peer.at > PEER_SUMMARY_MAX_AGE_S or peer.token != ctx.view.token:
                 continue
-            current_owners.add(peer.member)
+            if peer.complete:
+                current_owners.add(peer.member)
             for other in peer.machines.values():
                 if other.id in reports:
                     continue
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -29,7 +29,8 @@
 ENTRY_BYTES = 70
 RECORD_BYTES = 1500
 PACKED_BYTES = 24  # an entry in a record laid over several keys; measured: 8 to 16
-MOST_DEALT = 200  # tasks of one job in one round
+LEAST_DEALT = 200  # tasks of one job that may be dealt in one round
+DEALT_SHARE = 0.25  # of the machines, where that is more: rounds take longer with more of them
 PATIENT_S = 20.0  # small work leaves room to work with accelerators for so long
 KEEP_S = 75.0  # a team's limit is kept for its oldest gang so long at a time
 PAUSE_S = 20.0
@@ -357,7 +358,7 @@
         job = wait.job
         spec = job.spec
         refused = self.refused.covers(spec)
-        most = self._most_to_deal(job, under_way, refused)
+        most = self._most_to_deal(job, under_way, refused, len(rooms))
         picker: Picker | None = None
         choices: list[Choice] = []
         for number in job.waiting(most):
@@ -378,12 +379,15 @@
             choices.append(Choice(number, room))
         return choices
 
-    def _most_to_deal(self, job: JobRecord, under_way: set[int], refused: bool) -> int:
+    def _most_to_deal(
+        self, job: JobRecord, under_way: set[int], refused: bool, machines: int
+    ) -> int:
         """How many waiting tasks to look at, those under way included."""
         room_left = self.most_entries() - len(job.entries) - len(under_way)
         if room_left <= 0:
             return 0
-        return (1 if refused else min(room_left, MOST_DEALT)) + len(under_way)
+        most = max(LEAST_DEALT, int(DEALT_SHARE * machines))
+        return (1 if refused else min(room_left, most)) + len(under_way)
 
     def _finds_no_room(
         self, wait: Waiting, number: int, rooms: list[Room], quota: Quota, refused: bool
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -41,7 +41,7 @@
 HELD_S = 0.2  # reports closer than this were held back and let go together
 DEAF = 1.5  # leases
 FORGET_S = 120.0
-DEPARTED = 2000
+DEPARTED = 20_000  # machines; 2 MB
 
 
 class Owner:
--- a/coursefold/coordination/queueing.py
+++ b/coursefold/coordination/queueing.py
@@ -2,6 +2,10 @@
 
 from typing import NamedTuple
 
+# The search ends by itself soon after λ/μ unless slots cost nothing; then here.
+SPARE_SLOTS = 1000
+SPARE_FACTOR = 2.0
+
 
 def _blocked(load: float, servers: int, before: float) -> float:
     """Erlang B for one more server, B(n) = aB(n-1) / (n + aB(n-1)).
@@ -47,9 +51,7 @@
     return _expect(servers, load, rate, erlang_c(servers, load))
 
 
-def optimum(
-    arrivals: float, rate: float, price: float, eta: float, batch: float = 1.0, most: int = 20_000
-) -> int:
+def optimum(arrivals: float, rate: float, price: float, eta: float, batch: float = 1.0) -> int:
     """c* = argmin over c > λ/μ of η·E[W] + (1-η)·E[Cost]; the sum is convex in c.
 
     `batch` is by how much arrivals in lumps lengthen the wait: 1 for single tasks.
@@ -60,6 +62,7 @@
     if arrivals <= 0 or rate <= 0:
         return 0
     load = arrivals / rate
+    most = SPARE_SLOTS + int(SPARE_FACTOR * load)
     best = float("inf")
     blocked = 1.0
     for servers in range(1, most):
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -20,11 +20,14 @@
 log = logging.getLogger(__name__)
 
 VERSION = 2
-REASONS = 500
+REASONS = 500  # told in one frame; the others follow in the next ones
+ROWS_BYTES = 512 * 1024  # of rows in one frame, half of what a frame may have
 SUMMARY_S = 0.6
 ROWS_S = 0.05
 LATE_S = 3.0
-FINISHED = 400
+GONE_KEPT = 20_000  # machines that left, for siblings that have not been told yet
+FINISHED = 400  # run times told in one frame
+FINISHED_KEPT = 4000  # while there is no leader to tell
 
 
 class Row(NamedTuple):
@@ -45,31 +48,65 @@
 
 
 class Rows:
-    """The rows of our part, made once for all siblings."""
+    """The rows of our part, made once for all siblings, and in which order they changed."""
 
     def __init__(self, ctx: Context) -> None:
         self.ctx = ctx
         self.at = -1e9
         self.rows: dict[str, Row] = {}
+        self.changes = 0
+        # By machine, the number of its last change, in order; gone ones too, for a while.
+        self.changed: dict[str, int] = {}
+        self.gone: dict[str, None] = {}
 
     def get(self) -> dict[str, Row]:
         ctx = self.ctx
         if ctx.now - self.at < ROWS_S:
             return self.rows
         self.at = ctx.now
-        self.rows = {}
+        before, self.rows = self.rows, self._make()
+        for id, row in self.rows.items():
+            if before.get(id) != row:
+                self.gone.pop(id, None)
+                self._note(id)
+        for id in before:
+            if id not in self.rows:
+                self.gone[id] = None
+                self._note(id)
+        while len(self.gone) > GONE_KEPT:
+            oldest = next(iter(self.gone))
+            del self.gone[oldest], self.changed[oldest]
+        return self.rows
+
+    def _note(self, id: str) -> None:
+        self.changes += 1
+        self.changed.pop(id, None)
+        self.changed[id] = self.changes
+
+    def since(self, change: int) -> list[tuple[str, int]]:
+        """Machines that changed after a change, and the numbers of theirs, in order."""
+        found: list[tuple[str, int]] = []
+        for id, number in reversed(self.changed.items()):
+            if number <= change:
+                break
+            found.append((id, number))
+        return found[::-1]
+
+    def _make(self) -> dict[str, Row]:
+        ctx = self.ctx
+        rows: dict[str, Row] = {}
         if not ctx.active():
-            return self.rows
+            return rows
         for m in ctx.machines.values():
             # One that has not shown our token may be a late copy of an old report.
             if m.proven and ctx.owns(m.id, m.zone):
                 idle = not m.tasks and not ctx.view.occupies(m.id)
-                self.rows[m.id] = Row(
+                rows[m.id] = Row(
                     m.build, m.zone, m.spot, m.session, m.heard if m.quiet else None,
                     m.recall_at is not None or not m.hears, m.sick, m.lent_until > ctx.now,
                     m.idle_since if idle else None, m.lost, m.deaf, tuple(m.images),
                 )  # fmt: skip
-        return self.rows
+        return rows
 
 
 class Teller:
@@ -88,7 +125,7 @@
         self.seq = 0
         self.full = True
         self.told_at = -1e9
-        self.sent: dict[str, Row] = {}
+        self.told_change = 0  # of the rows; all up to it have been told on this connection
         self.said: dict[str, str] = {}
 
     def waits(self) -> bool:
@@ -129,32 +166,56 @@
         body.full, self.full = self.full, False
         if ctx.view.loaded:
             cancellations.tell(ctx, self.member, body.cancellations)
-        rows = self.rows.get()
-        for id, row in rows.items():
-            if self.sent.get(id) != row:
-                body.machines.add(
-                    id=id, build=row.build, zone=row.zone, spot=row.spot, session=row.session,
-                    quiet=row.quiet_since is not None,
-                    silent_s=max(0.0, ctx.now - (row.quiet_since or ctx.now)),
-                    draining=row.draining, sick=row.sick, lost=row.lost, deaf=row.deaf,
-                    lent=row.lent, images=row.images, idle=row.idle_since is not None,
-                    idle_s=max(0.0, ctx.now - (row.idle_since or ctx.now)),
-                )  # fmt: skip
-        body.dropped.extend(id for id in self.sent if id not in rows)
-        self.sent = rows
+        self._tell_rows(body)
         if ctx.leading():
-            said: dict[str, str] = dict(list(reasons.items())[:REASONS])
-            for name, why in said.items():
-                if self.said.get(name) != why:
-                    body.reasons[name] = why
-            for name in self.said:
-                if name not in said:
-                    body.reasons[name] = ""
-            self.said = said
+            self._tell_reasons(body, reasons)
         elif ctx.roster is not None and ctx.roster.leader == self.member:
             for lane, seconds in ctx.finished[:FINISHED]:
                 body.finished.add(lane=lane, seconds=seconds, tasks=1)
-            ctx.finished.clear()
+            del ctx.finished[:FINISHED]
+        del ctx.finished[:-FINISHED_KEPT]
+
+    def _tell_rows(self, body: peer_pb2.Summary) -> None:
+        """Rows that changed, as many as a frame has room for; the rest in the next one.
+
+        A frame over the limit would end the connection, and the next one begin with the same
+        rows: one controller with thousands of machines would never be heard of.
+        """
+        rows = self.rows.get()
+        room = ROWS_BYTES
+        for id, change in self.rows.since(self.told_change):
+            if room <= 0:
+                body.more = self.urgent = True
+                break
+            row = rows.get(id)
+            if row is None:
+                body.dropped.append(id)
+            else:
+                room -= self._add_row(body, id, row)
+            self.told_change = change
+
+    def _add_row(self, body: peer_pb2.Summary, id: str, row: Row) -> int:
+        """Add one machine's row; its size in bytes."""
+        now = self.ctx.now
+        return body.machines.add(
+            id=id, build=row.build, zone=row.zone, spot=row.spot, session=row.session,
+            quiet=row.quiet_since is not None,
+            silent_s=max(0.0, now - (row.quiet_since or now)),
+            draining=row.draining, sick=row.sick, lost=row.lost, deaf=row.deaf,
+            lent=row.lent, images=row.images, idle=row.idle_since is not None,
+            idle_s=max(0.0, now - (row.idle_since or now)),
+        ).ByteSize()  # fmt: skip
+
+    def _tell_reasons(self, body: peer_pb2.Summary, reasons: dict[JobId, str]) -> None:
+        """Reasons that are new or hold no more, as many as a frame has room for."""
+        changed = [(name, why) for name, why in reasons.items() if self.said.get(name) != why]
+        over = [(name, "") for name in self.said if name not in reasons]
+        for name, why in [*over, *changed][:REASONS]:
+            body.reasons[name] = why
+            if why:
+                self.said[name] = why
+            else:
+                del self.said[name]
 
 
 def oldest(skew_ms: float) -> float:
@@ -223,6 +284,7 @@
         view.machines[item.id] = machine
     for id in body.dropped:
         view.machines.pop(id, None)
+    view.complete = not body.more
     view.wanted = frozenset(body.wanted)
     view.unreachable_for_workers = frozenset(body.complaints)
     for name, why in body.reasons.items():
--- a/coursefold/policy/language.py
+++ b/coursefold/policy/language.py
@@ -90,7 +90,13 @@
 SIZE_LIMIT = 32 * 1024
 RULES_LIMIT = 50
 NODES_LIMIT = 60
-COUNTS = {"recruit": (1, 10), "release": (1, 10), "at_least": (0, 1000), "at_most": (0, 1000)}
+MOST_MACHINES = 100_000  # far above any fleet: a slip of the pen, not a wish
+COUNTS = {
+    "recruit": (1, MOST_MACHINES),
+    "release": (1, MOST_MACHINES),
+    "at_least": (0, MOST_MACHINES),
+    "at_most": (0, MOST_MACHINES),
+}
 
 
 class PolicyError(Exception):
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 ENDINGS = 20_000  # final states kept in memory; older ones are read when asked for
+REMOVALS = 20_000  # remembered; twice as many changes as the state service keeps itself
 
 
 class Held(NamedTuple):
@@ -335,8 +336,8 @@
         if key.startswith((records.JOBS, records.MEMBERS)):
             # A removal seen before an older write of the same key must win over it.
             self.gone[key] = max(stamp, self.gone.get(key, 0))
-            if len(self.gone) > 2000:
-                for old in sorted(self.gone, key=self.gone.__getitem__)[:1000]:
+            if len(self.gone) > REMOVALS:
+                for old in sorted(self.gone, key=self.gone.__getitem__)[: REMOVALS // 2]:
                     del self.gone[old]
         known = self.held.pop(key, None)
         self.unswept.pop(JobId(key.removeprefix(records.JOBS)), None)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -29,7 +29,6 @@
 ROUND_S = 0.2
 NODES = 5
 ZONES = ("a", "b")
-WORKERS = SETTINGS["params"]["workers"]
 
 
 class RuleBrokenError(AssertionError):
@@ -165,7 +164,7 @@
                 self.token = answer.body["Baton"]
                 self.lease_from = sent
                 self.execute(answer.body["Orders"])
-            self._next(world.rng.uniform(0.75, 1.25) * WORKERS["report_s"])
+            self._next(world.rng.uniform(0.75, 1.25) * world.timing["report_s"])
             return
         owner = answer.body.get("Foreman") if answer is not None and answer.status == 421 else None
         if owner and owner != f"n{self.node}":
@@ -177,8 +176,9 @@
 
     def _lease(self) -> None:
         """Kill everything when the last answered report is too old."""
-        while self.world.now > self.lease_from + WORKERS["lease_s"]:
-            self.lease_from += WORKERS["lease_s"]
+        world = self.world
+        while world.now > self.lease_from + world.timing["lease_s"]:
+            self.lease_from += world.timing["lease_s"]
             self.session += 1
             for task in list(self.tasks.values()):
                 self.world.leaves(self, task)
@@ -521,6 +521,7 @@
         self.events: list[tuple[float, int, Callable[[], object]]] = []
         self.count = 0
         self.params = SETTINGS["params"] | params
+        self.timing: dict[str, float] = self.params["workers"]
         self.store = StateStore()
         self.store.set(records.CATALOG, msgspec.to_builtins(self._catalog()))
         self.outage_until = self.cloud_down_until = self.peers_refused_until = 0.0
@@ -815,7 +816,7 @@
                 raise RuleBrokenError(f"{job.name}: cancelled by nobody")
             if job.cancelled_at < 0:
                 job.cancelled_at = self.now
-                self.after(WORKERS["cancel_s"] + 0.01, lambda: self._cancelled(job))
+                self.after(self.timing["cancel_s"] + 0.01, lambda: self._cancelled(job))
         new, job.told = status != job.told, status
         if new and job.over():
             job.over_at = self.now
@@ -925,7 +926,7 @@
         early = [need.name for need in job.needs if not need.complete()]
         if early:
             raise RuleBrokenError(f"{task.name} starts before {early} are done")
-        if job.cancelled_at >= 0 and self.now > job.cancelled_at + WORKERS["cancel_s"]:
+        if job.cancelled_at >= 0 and self.now > job.cancelled_at + self.timing["cancel_s"]:
             raise RuleBrokenError(f"{task.name} starts after its cancellation")
         body = job.body
         others = [w.zone for w, t in self.on.values() if t.job is job and t is not task]
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,185 @@
+"""No fixed bound below 4,000 machines: each is passed here, and what happens there is seen."""
+
+from msgspec import structs
+
+from coursefold.coordination import cancellations
+from coursefold.coordination.context import Context, Machine
+from coursefold.coordination.queueing import optimum
+from coursefold.coordination.summary import REASONS, Rows, Teller, read, take
+from coursefold.policy.language import parse
+from coursefold.protocol.ids import JobId, Moment
+from coursefold.storage import records
+from coursefold.storage.view import View
+from coursefold.transport.peers import FRAME_LIMIT
+from tests.measure_size import large_fleet
+from tests.test_policy import ENV
+from tests.world import World
+
+MACHINES = 4000
+IMAGES = {f"registry/team/image-with-a-long-name-{number}": 5.0 for number in range(12)}
+
+
+class Sibling:
+    """What `n1` makes of the frames of `n0`."""
+
+    def __init__(self, ctx: Context) -> None:
+        self.ctx = ctx
+        self.frames: list[bytes] = []
+
+    def hears(self, teller: Teller, reasons: dict[JobId, str]) -> int:
+        """Take frames until nothing waits; how many came."""
+        count = 0
+        while frame := teller.frame(set(), set(), reasons):
+            count += 1
+            self.frames.append(frame)
+            envelope = read(self.ctx, frame)
+            assert envelope is not None
+            take(self.ctx, envelope)
+        return count
+
+
+def leading_world() -> World:
+    world = World()
+    world.run(3.0)
+    assert world.core.ctx.leading()
+    return world
+
+
+def listener(world: World) -> Sibling:
+    """Another controller of the same settings, which knows `n0` as its sibling."""
+    other = World()
+    other.run(world.now)
+    ctx = other.core.ctx
+    own = ctx.settings.siblings[0]
+    siblings = [structs.replace(own, member="n0"), ctx.settings.siblings[1]]
+    settings = structs.replace(ctx.settings, member=own.member, siblings=siblings)
+    ctx.settings = settings
+    return Sibling(ctx)
+
+
+def add_machines(ctx: Context, count: int) -> list[str]:
+    """Machines of our own part, each with a dozen images."""
+    names = [f"i-{number:06d}" for number in range(3 * count)]
+    names = [name for name in names if ctx.owns(name, "a")][:count]
+    for name in names:
+        machine = Machine(name, "g2", "a", False)
+        machine.session, machine.proven, machine.heard = 1, True, ctx.now
+        machine.images = dict(IMAGES)
+        ctx.machines[name] = machine
+    return names
+
+
+def test_one_controllers_4000_machines_are_told_in_several_frames() -> None:
+    """A frame over the limit ended the connection, and the next began with the same rows."""
+    world = leading_world()
+    ctx = world.core.ctx
+    names = add_machines(ctx, MACHINES)
+    teller = Teller(ctx, Rows(ctx), "n1")
+    sibling = listener(world)
+    assert sibling.hears(teller, {}) > 2
+    assert max(map(len, sibling.frames)) < FRAME_LIMIT
+    assert sum(map(len, sibling.frames)) > FRAME_LIMIT
+    known = sibling.ctx.peers["n0"]
+    assert set(names) <= set(known.machines)
+    assert known.complete
+
+
+def test_machines_whose_rows_are_still_to_come_are_not_missing() -> None:
+    """Else a leader that connects anew would return all that the first frame left out."""
+    world = leading_world()
+    ctx = world.core.ctx
+    names = add_machines(ctx, MACHINES)
+    teller = Teller(ctx, Rows(ctx), "n1")
+    sibling = listener(world)
+    envelope = read(sibling.ctx, teller.frame(set(), set(), {}))
+    assert envelope is not None
+    take(sibling.ctx, envelope)
+    known = sibling.ctx.peers["n0"]
+    assert len(known.machines) < len(names)
+    assert not known.complete
+
+
+def test_all_reasons_are_told() -> None:
+    world = leading_world()
+    teller = Teller(world.core.ctx, Rows(world.core.ctx), "n1")
+    sibling = listener(world)
+    reasons = {JobId(f"job-{number}"): f"waits {number}" for number in range(4 * REASONS + 7)}
+    for _ in range(6):
+        teller.urgent = True
+        sibling.hears(teller, reasons)
+    assert sibling.ctx.peers["n0"].reasons == reasons
+    teller.urgent = True
+    few = dict.fromkeys(list(reasons)[:3], "other")
+    for _ in range(6):
+        teller.urgent = True
+        sibling.hears(teller, few)
+    assert sibling.ctx.peers["n0"].reasons == few
+
+
+def test_run_times_beyond_one_frame_are_kept_for_the_next() -> None:
+    world = leading_world()
+    ctx = world.core.ctx
+    assert ctx.roster is not None
+    ctx.view.roster = structs.replace(ctx.roster, leader="n1")
+    ctx.finished.extend(("batch", float(number)) for number in range(900))
+    teller = Teller(ctx, Rows(ctx), "n1")
+    sibling = listener(world)
+    for _ in range(3):
+        teller.urgent = True
+        sibling.hears(teller, {})
+    assert len(sibling.ctx.finished) == 900
+    ctx.finished.extend(("batch", 1.0) for _ in range(100_000))
+    Teller(ctx, Rows(ctx), "n2").frame(set(), set(), {})
+    assert len(ctx.finished) < 5000
+
+
+def test_a_policy_may_name_thousands_of_machines() -> None:
+    policy = parse("rule a: when c > 1 then at_least 4000\nrule b: when c > 1 then recruit 500")
+    assert policy.adjust(ENV).at_least == 4000
+    assert policy.adjust(ENV).recruit == 500
+
+
+def test_the_optimum_of_a_pool_of_32000_slots_lies_above_its_load() -> None:
+    """Once, the search ended at 20,000 slots, fewer than 4,000 machines of eight have."""
+    load = 30_000.0
+    assert load < optimum(load / 60.0, 1 / 60.0, 0.0007, 0.0005) < 1.1 * load
+    assert optimum(load / 60.0, 1 / 60.0, 0.0, 0.0005) < 2 * load + 2000  # free slots: it ends
+
+
+def test_copies_of_machines_that_left_are_known_for_thousands() -> None:
+    world = leading_world()
+    owner = world.core.owner
+    names = add_machines(world.core.ctx, MACHINES)
+    for name in names:
+        owner.depart(name)
+    assert set(names) <= set(owner.departed)
+
+
+def test_removals_are_remembered_for_thousands_of_jobs() -> None:
+    """One that was seen before an older write of the same key must win over it."""
+    view = View()
+    for number in range(2 * MACHINES):
+        view.drop(f"{records.JOBS}job-{number}", 1000 + number)
+    old = view.put(f"{records.JOBS}job-0", [1, 1], 999)
+    assert not old
+
+
+def test_as_many_cancellations_are_told_as_are_confirmed_in_some_seconds() -> None:
+    ctx = World().core.ctx
+    assert cancellations.most_told(ctx) == 1000
+    params = ctx.settings.params
+    state = structs.replace(params.state, write_rps=400.0)
+    ctx.settings = structs.replace(ctx.settings, params=structs.replace(params, state=state))
+    assert cancellations.most_told(ctx) == 4000
+
+
+def test_4000_machines_are_rented_and_filled_on_cheap_ticks() -> None:
+    """Five controllers; the reports of each machine come every eight seconds."""
+    fleet = large_fleet(MACHINES)
+    fleet.run(50.0)
+    up = [worker for worker in fleet.workers.values() if worker.counter]
+    assert len(up) >= 0.95 * MACHINES
+    assert len(fleet.on) >= 0.9 * MACHINES
+    leader = next(node for node in fleet.nodes if node.enter().ctx.leading())
+    assert leader.core.ctx.now > Moment(0.0)
+    assert len(leader.core.fleet.inventory.machines) >= 0.95 * MACHINES
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -9,7 +9,7 @@
 
 from coursefold.protocol.ids import JobId
 from coursefold.storage import records
-from tests.fleet import NODES, WORKERS, Fleet, Node
+from tests.fleet import NODES, Fleet, Node
 from tests.production import OURS, Version
 
 LONG = 1e6
@@ -182,7 +182,7 @@
 def test_a_plain_outage_costs_no_lease() -> None:
     """Longer than `cancel_s`: each is told by all others that it lacks no cancellation."""
     fleet = busy(5)
-    fleet.outage_until = fleet.now + WORKERS["cancel_s"] + 20.0
+    fleet.outage_until = fleet.now + fleet.timing["cancel_s"] + 20.0
     running = dict(fleet.on)
     fleet.run(fleet.outage_until + 10.0)
     assert fleet.on == running
