Cells: nothing is said of a record that can't be read; a pause for one cell only; documents

Cause, found by reading: a guest whose record is laid over several keys, and of which a part is missing, is in no index; the guest cell would have called it released while its tasks run, and home have closed one that is current. Change: neither says anything of such a job. Tests: test_nothing_is_said_of_a_record_that_can_not_be_read, test_a_job_is_not_offered_again_where_it_just_came_back_from.

--- a/coursefold/cells/config.py
+++ b/coursefold/cells/config.py
@@ -34,7 +34,7 @@
     offers: Count = 8  # unanswered at once, at each other cell
     after_s: Seconds = 5.0  # a job has waited so long before it is offered
     min_gain_s: Seconds = 20.0  # of expected wait, beyond fetch, handover and price
-    return_pause_s: Seconds = 120.0  # before a job that came back is offered again
+    return_pause_s: Seconds = 120.0  # before a job is offered again where it came back from
     start_s: Seconds = 180.0  # a job that runs nowhere after so long is taken back
     draining: bool = False  # offers nothing, takes no guests
 
--- a/coursefold/cells/guest.py
+++ b/coursefold/cells/guest.py
@@ -257,8 +257,7 @@
         done = job.done if stage == GuestStage.RELEASED else []
         return GuestState(handle_of(name, job), stage, running, done, job.attempt)
 
-    @staticmethod
-    def _unknown(cell: OtherCell, known: set[Handle]) -> list[GuestState]:
+    def _unknown(self, cell: OtherCell, known: set[Handle]) -> list[GuestState]:
         """What the cell thinks is here and is not: it never will be, under this reservation.
 
         Our records are those of a leader, complete up to its roster, and a reservation is told
@@ -266,5 +265,8 @@
         """
         if cell.frame is None:
             return []
-        missing = [h for h in (*cell.frame.grants, *cell.frame.revoked) if h not in known]
-        return [GuestState(handle, GuestStage.RELEASED, 0, [], 0) for handle in missing]
+        return [
+            GuestState(handle, GuestStage.RELEASED, 0, [], 0)
+            for handle in (*cell.frame.grants, *cell.frame.revoked)
+            if handle not in known and not self.port.is_unclear(handle.job)
+        ]
--- a/coursefold/cells/home.py
+++ b/coursefold/cells/home.py
@@ -278,9 +278,8 @@
             if spec.due is not None:
                 due = wait.job.at + spec.due - self.ctx.wall
             here_s = wait.expected_s * self.waits.factor
-            found.append(
-                Candidate(wait.name, spec, wait.tasks, here_s, self.port.run_s(spec), price, due)
-            )
+            run_s, avoid = self.port.run_s(spec), self._avoid(wait.job)
+            found.append(Candidate(wait.name, spec, wait.tasks, here_s, run_s, price, due, avoid))
         return found
 
     def _may_go(self, wait: WaitingJob) -> bool:
@@ -289,11 +288,15 @@
             return False
         if wait.age < self.config.spill.after_s or len(job.done) > DONE_RANGES:
             return False
-        away = job.away
-        if away is not None and self.ctx.wall - away.at < self.config.spill.return_pause_s:
-            return False
         return not self.port.is_busy(wait.name)
 
+    def _avoid(self, job: JobRecord) -> str:
+        """The cell that the job came back from a moment ago."""
+        away = job.away
+        if away is None or self.ctx.wall - away.at >= self.config.spill.return_pause_s:
+            return ""
+        return away.cell
+
     def _offer(self, choice: Choice) -> None:
         job = self.view.jobs[choice.name]
         epoch = (job.away.epoch if job.away else 0) + 1
@@ -351,6 +354,7 @@
             state.handle
             for state in cell.frame.guests
             if not self._is_current(cell.name, state.handle)
+            and not self.port.is_unclear(state.handle.job)
         )
 
     def _is_current(self, cell: str, handle: Handle) -> bool:
--- a/coursefold/cells/policy.py
+++ b/coursefold/cells/policy.py
@@ -29,6 +29,7 @@
     run_s: float
     price: float  # of a slot here, per second
     due_in_s: float | None
+    avoid: str = ""  # a cell that it came back from a moment ago
 
 
 class Choice(NamedTuple):
@@ -89,7 +90,9 @@
     for candidate in longest:
         best: tuple[float, str, Expectation] | None = None
         for cell, target in targets.items():
-            gain = _gain(candidate, target, eta) if room[cell] > 0 else None
+            if room[cell] <= 0 or cell == candidate.avoid:
+                continue
+            gain = _gain(candidate, target, eta)
             if gain is not None and (best is None or gain[0] > best[0]):
                 best = (gain[0], cell, gain[1])
         if best is None:
--- a/coursefold/cells/port.py
+++ b/coursefold/cells/port.py
@@ -89,6 +89,11 @@
             grows = any(place not in fleet.hires.refusals for place in places)
             yield pool_state(demand, MOST_GROWTH if grows else 0.0)
 
+    def is_unclear(self, name: JobId) -> bool:
+        """Is there a record of the job that we can not read, or not yet?"""
+        key = job_key(name)
+        return key in self.view.unreadable or self.view.incomplete(key)
+
     def pool_sizes(self) -> list[float]:
         """Slots of each pool, in the order in which `queue` has them."""
         return [float(d.machines * d.k) for d in self.core.fleet.pools.demands.values()]
--- a/tests/test_cells_input.py
+++ b/tests/test_cells_input.py
@@ -433,6 +433,50 @@
     assert not cells.home._is_proven_gone("east")
 
 
+# Words on records
+
+
+def leading_cells() -> Cells:
+    """North's leader, which has heard east."""
+    world = World()
+    cells = Cells(config(), world.core)
+    world.run(3.0)
+    ctx = world.enter().ctx
+    raw = dump_frame(frame(sent_at=ctx.wall, grants=(HANDLE,), revoked=(OTHERS[1],)))
+    assert cells.directory.take(raw, "127.0.1.1") is not None
+    return cells
+
+
+def words(cells: Cells) -> list[tuple[Handle, GuestStage]]:
+    """What the next frame to east says of its jobs here."""
+    filled = cells.guest.fill(frame(), cells.directory.cells["east"])
+    return [(state.handle, state.stage) for state in filled.guests]
+
+
+def test_what_home_thinks_is_here_and_is_not_is_called_released() -> None:
+    cells = leading_cells()
+    released = GuestStage.RELEASED
+    assert words(cells) == [(HANDLE, released), (OTHERS[1], released)]
+    key = records.job_key(NAME)
+    cells.core.view.keep(key, guest_job(GuestStage.GRANTED), 10**6)
+    assert words(cells) == [(HANDLE, GuestStage.GRANTED), (OTHERS[1], released)]
+
+
+def test_nothing_is_said_of_a_record_that_can_not_be_read() -> None:
+    """Its tasks may run: neither released here nor closed at home."""
+    cells = leading_cells()
+    cells.core.view.put(records.job_key(NAME), ["not", "a", "job"] * 9, 10**6)
+    assert records.job_key(NAME) in cells.core.view.unreadable
+    assert words(cells) == []
+    state = GuestState(HANDLE, GuestStage.FINISHED, 0, [], 0)
+    raw = dump_frame(frame(seq=2, sent_at=cells.core.ctx.wall, guests=(state,)))
+    cell = cells.directory.take(raw, "127.0.1.1")
+    assert cell is not None
+    assert cells.home.fill(frame(), cell).closed == ()
+    cells.core.view.unreadable.clear()
+    assert cells.home.fill(frame(), cell).closed == (HANDLE,)
+
+
 # Records
 
 
@@ -510,6 +554,11 @@
     assert not chosen(candidate(spec=spec(**fields)), pool())
 
 
+def test_a_job_is_not_offered_again_where_it_just_came_back_from() -> None:
+    assert not chosen(candidate(avoid="dublin"), pool())
+    assert chosen(candidate(avoid="cork"), pool())
+
+
 def test_what_is_offered_fills_the_room_that_was_told() -> None:
     jobs = [candidate(name=JobId(f"job-{n}"), tasks=4) for n in range(9)]
     target = {"dublin": Target(Pools([pool(drain=0.0)]), 8)}
