--- a/coursefold/cells/config.py
+++ b/coursefold/cells/config.py
@@ -1,14 +1,13 @@
 """The file of cells, read and checked before anything else happens."""
 
-import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta, Struct
 from netaddr import AddrFormatError, IPAddress, IPNetwork, IPSet
 
-from coursefold.settings import Settings, SettingsError, split_address
+from coursefold.settings import Settings, SettingsError, read_file, split_address
 
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern="^[a-z0-9-]+$")]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
@@ -152,18 +151,10 @@
 
 def load_cells(path: Path, settings: Settings) -> CellsConfig:
     """Read and check the file; every fault is a SettingsError that names the field."""
-    try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+
+    def read(raw: dict[str, Any]) -> CellsConfig:
         file = msgspec.convert(raw, CellsFile)
         check(file, settings)
-    except SettingsError as wrong:
-        raise SettingsError(f"{path}: {wrong}") from None
-    except OSError as wrong:
-        raise SettingsError(f"{path}: {wrong.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
-        raise SettingsError(f"{path}: not TOML: {wrong}") from None
-    except msgspec.ValidationError as wrong:
-        what, _, where = str(wrong).partition(" - at ")
-        where = where.strip("`").removeprefix("$.") or "top level"
-        raise SettingsError(f"{path}: {where}: {what}") from None
-    return CellsConfig(file, settings)
+        return CellsConfig(file, settings)
+
+    return read_file(path, read)
--- a/coursefold/cells/edits.py
+++ b/coursefold/cells/edits.py
@@ -11,7 +11,7 @@
 from coursefold.coordination.jobs import settle
 from coursefold.storage import records
 from coursefold.storage.cell_records import Away, AwayStage, CellLink, Guest, GuestStage
-from coursefold.storage.queue import Change, NotApplicableError, Remove, Result
+from coursefold.storage.edits import Change, NotApplicableError, Remove, Result
 from coursefold.storage.records import Ending, JobRecord
 
 replace = msgspec.structs.replace
--- a/coursefold/cells/guest.py
+++ b/coursefold/cells/guest.py
@@ -19,7 +19,7 @@
 from coursefold.protocol.ids import JobId, Moment
 from coursefold.storage import records
 from coursefold.storage.cell_records import CellLink, GuestStage
-from coursefold.storage.queue import Edit
+from coursefold.storage.edits import Edit
 from coursefold.storage.records import JobRecord, job_key
 
 log = logging.getLogger(__name__)
--- a/coursefold/cells/port.py
+++ b/coursefold/cells/port.py
@@ -11,7 +11,7 @@
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
 from coursefold.storage import records
-from coursefold.storage.queue import SOON, Change, Edit
+from coursefold.storage.edits import SOON, Change, Edit
 from coursefold.storage.records import JobRecord, cell_link_key, job_key
 
 MOST_GROWTH = 1e6  # slots: our own loop rents what our queue needs
--- a/coursefold/cli.py
+++ b/coursefold/cli.py
@@ -130,6 +130,16 @@
         _fail(wrong, 1)
 
 
+def _condition(node: str) -> dict[str, Any]:
+    """What a controller says of itself, well or not."""
+    from coursefold.client import RefusedError, condition
+
+    try:
+        return condition(node)
+    except RefusedError as wrong:
+        _fail(wrong, 1)
+
+
 def _show(answer: dict[str, Any]) -> None:
     line = f"{answer.get('NameId')}: {answer.get('Status')}"
     if "done" in answer:
@@ -143,12 +153,7 @@
 @node_option
 def status(node: str) -> None:
     """Show a controller's version, who leads, and which controllers run older versions."""
-    from coursefold.client import RefusedError, condition
-
-    try:
-        answer = condition(node)
-    except RefusedError as wrong:
-        _fail(wrong, 1)
+    answer = _condition(node)
     click.echo(f"{node}: {'healthy' if answer.get('ok') else 'not healthy'}")
     if "version" not in answer:
         click.echo("  version 0.1, which does not say more")
@@ -166,12 +171,7 @@
 @node_option
 def cells(node: str) -> None:
     """Show the other cells: reachability, jobs away and guests here, waits. Ask the leader."""
-    from coursefold.client import RefusedError, condition
-
-    try:
-        answer = condition(node)
-    except RefusedError as wrong:
-        _fail(wrong, 1)
+    answer = _condition(node)
     found = answer.get("cells")
     if found is None:
         click.echo(f"{node}: no cells; it was started without a file of them")
--- a/coursefold/coordination/cloud.py
+++ b/coursefold/coordination/cloud.py
@@ -12,7 +12,7 @@
 from coursefold.coordination.context import Context
 from coursefold.coordination.demand import PoolId
 from coursefold.coordination.effects import CloudCall
-from coursefold.storage.queue import Budget
+from coursefold.storage.limits import Budget
 from coursefold.storage.records import Hire
 
 OWN_SHARE = 0.8  # of the cloud's rate; a former leader's last requests take some, too
--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -137,6 +137,7 @@
 
     @property
     def roster(self) -> Roster | None:
+        """The roster that we know."""
         return self.view.roster
 
     def my_record(self) -> MemberRecord | None:
@@ -171,6 +172,7 @@
         return min(NEWS_AGE_S, self.longest_renewal())
 
     def leading(self) -> bool:
+        """May we decide for the whole cell?"""
         roster = self.view.roster
         return roster is not None and roster.leader == self.me and self.active()
 
@@ -187,6 +189,7 @@
         return found
 
     def owns(self, machine: str, zone: str) -> bool:
+        """Is the machine in our part?"""
         return self.owner(machine, zone) == self.me
 
     def alive_within(self) -> float:
@@ -194,6 +197,7 @@
         return self.settings.params.workers.report_s * 2.5 + 0.5
 
     def kind(self, build: str) -> MachineType | None:
+        """A machine type by its name."""
         catalog = self.view.catalog
         if catalog is not self._kinds_of:
             self._kinds_of = catalog
--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -31,6 +31,8 @@
 
 
 class PoolId(NamedTuple):
+    """Alike machines: one type, ordinary or spot."""
+
     build: str
     spot: bool
 
@@ -57,6 +59,7 @@
         self.counted_at = 0.0
 
     def add(self, lane: str, seconds: float, now: float) -> None:
+        """Note how long a task of a class was on its machine."""
         self.seen.setdefault(lane, deque(maxlen=200)).append((now, seconds))
         self.means.pop(lane, None)
 
@@ -121,6 +124,7 @@
 
     @property
     def mean_run(self) -> float:
+        """Mean time that an arrival takes a slot, 1/μ."""
         return self.work / self.arrivals if self.arrivals else DEFAULT_RUN_S
 
     @property
@@ -229,6 +233,7 @@
                 return
 
     def running(self, spec: Job, pool: PoolId) -> None:
+        """Count a task that has a place in the pool."""
         demand = self.pools.get(pool)
         if demand is None or self._leftover(spec, demand.kind):
             return
--- a/coursefold/coordination/election.py
+++ b/coursefold/coordination/election.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.parts import weight
 from coursefold.coordination.upgrade import Upgrade
 from coursefold.storage import records
-from coursefold.storage.queue import FIRST, Change, Edit, NotApplicableError, Result
+from coursefold.storage.edits import FIRST, Change, Edit, NotApplicableError, Result
 from coursefold.storage.records import MemberRecord, Roster
 
 log = logging.getLogger(__name__)
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -28,7 +28,7 @@
 from coursefold.coordination.pools import LONGEST_PERIOD_S, PoolControl
 from coursefold.protocol.wire import Catalog, Listed, MachineList, MalformedError, decode
 from coursefold.storage import records
-from coursefold.storage.queue import LATER, Edit, NotApplicableError, Result
+from coursefold.storage.edits import LATER, Edit, NotApplicableError, Result
 
 log = logging.getLogger(__name__)
 
--- a/coursefold/coordination/forward.py
+++ b/coursefold/coordination/forward.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.summary import Teller
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, is_job_id
-from coursefold.storage.queue import SOON, Edit
+from coursefold.storage.edits import SOON, Edit
 from coursefold.storage.records import job_key
 
 log = logging.getLogger(__name__)
@@ -104,6 +104,7 @@
             ctx.queue.propose(sent.edit)
 
     def outcomes(self, found: list[peer_pb2.Outcome]) -> None:
+        """Note what the leader says became of our proposals."""
         for outcome in found:
             if outcome.id in self.sent:
                 self.landed.append(outcome)
--- a/coursefold/coordination/hires.py
+++ b/coursefold/coordination/hires.py
@@ -16,7 +16,7 @@
 from coursefold.coordination.placement import Place
 from coursefold.protocol.wire import Boxes, decode
 from coursefold.storage import records
-from coursefold.storage.queue import Edit, NotApplicableError, Result
+from coursefold.storage.edits import Edit, NotApplicableError, Result
 from coursefold.storage.records import Hire, PoolRecord, pool_key
 
 log = logging.getLogger(__name__)
--- a/coursefold/coordination/inventory.py
+++ b/coursefold/coordination/inventory.py
@@ -14,7 +14,7 @@
 from coursefold.coordination.demand import PoolId
 from coursefold.coordination.stability import Losses
 from coursefold.protocol.wire import Listed
-from coursefold.storage.queue import Edit
+from coursefold.storage.edits import Edit
 from coursefold.storage.records import DEALT, job_key
 
 log = logging.getLogger(__name__)
--- a/coursefold/coordination/jobs.py
+++ b/coursefold/coordination/jobs.py
@@ -14,7 +14,7 @@
 from coursefold.protocol.wire import Job
 from coursefold.storage import records
 from coursefold.storage.cell_records import AwayStage, Guest, GuestStage
-from coursefold.storage.queue import Change, End, NotApplicableError, Result
+from coursefold.storage.edits import Change, End, NotApplicableError, Result
 from coursefold.storage.records import DEALT, PLACED, STOPPING, Ending, Entry, JobRecord
 
 
@@ -344,6 +344,7 @@
         return self.kind in KINDS and (len(self.tasks) == 1 or (several and bool(self.tasks)))
 
     def change(self) -> Change:
+        """The edit that the step stands for."""
         if self.kind == "place":
             return place(self.owner, self.tasks)
         task = self.tasks[0]
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -21,7 +21,7 @@
 from coursefold.coordination.urgency import Urgency
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
-from coursefold.storage.queue import LATER, Edit
+from coursefold.storage.edits import LATER, Edit
 from coursefold.storage.records import PLACED, JobRecord, job_key
 
 log = logging.getLogger(__name__)
@@ -175,6 +175,7 @@
         return limit_fits(team, spec, spec.tasks, lasting)
 
     def tick(self) -> None:
+        """One round of dealing, while this node leads."""
         ctx = self.ctx
         if not ctx.leading():
             self.wanted.clear()
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.placement import SLACK, Picker, Refused, Room
 from coursefold.protocol.ids import JobId, parse_task
 from coursefold.protocol.wire import Job, Order, Report, TaskReport
-from coursefold.storage.queue import LATER, SOON, Edit
+from coursefold.storage.edits import LATER, SOON, Edit
 from coursefold.storage.records import (
     DEALT,
     LIVE,
--- a/coursefold/coordination/parts.py
+++ b/coursefold/coordination/parts.py
@@ -11,6 +11,7 @@
 
 
 def weight(member: str, machine: str) -> bytes:
+    """The order of members for a machine: the highest owns it."""
     return blake2b(f"{member}\0{machine}".encode(), digest_size=8).digest()
 
 
--- a/coursefold/coordination/pid.py
+++ b/coursefold/coordination/pid.py
@@ -4,6 +4,8 @@
 
 
 class Gains(NamedTuple):
+    """The controller's three factors."""
+
     proportional: float = 1.0
     integral: float = 0.02
     derivative: float = 0.0
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -75,6 +75,7 @@
         self.idle_since = 0.0
 
     def holds(self, spec: Job) -> bool:
+        """Is there room for a task of the job?"""
         return (
             spec.cpus <= self.cpus + SLACK
             and spec.gpus <= self.gpus + SLACK
@@ -92,6 +93,7 @@
         return int(min(((free + SLACK) / one for free, one in amounts if one), default=0.0))
 
     def take(self, spec: Job) -> None:
+        """Count a task as placed here."""
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
         self.memory -= spec.memory
@@ -100,6 +102,7 @@
             self.fetching = {**self.fetching, spec.image: spec.image_gb}
 
     def give(self, spec: Job) -> None:
+        """Count a task as gone from here."""
         self.cpus += spec.cpus
         self.gpus += spec.gpus
         self.memory += spec.memory
@@ -279,6 +282,7 @@
         return wasteful + 5.0 * hourly + pinned
 
     def __call__(self, room: Room) -> tuple[float, float, str]:
+        """The room's price for the job, smaller is better."""
         kind = (room.kind.name, room.spot)
         if not self.spec.gpus and room.kind.gpus:
             return self._leftover(room)
@@ -404,6 +408,7 @@
         return (tuple(spec.builds) if spec.builds is not None else None, spec.zone, spec.spot, zone)
 
     def add(self, spec: Job, zone: str = "") -> None:
+        """Nothing that needs as much as this finds room now."""
         found = self.seen.setdefault(self._kind(spec, zone), [])
         found.append((spec.cpus, spec.gpus, spec.memory))
 
--- a/coursefold/coordination/preemption.py
+++ b/coursefold/coordination/preemption.py
@@ -13,7 +13,7 @@
 from coursefold.coordination.quota import Quota
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
-from coursefold.storage.queue import Edit
+from coursefold.storage.edits import Edit
 from coursefold.storage.records import LIVE, PLACED, STOPPING, Entry, JobRecord, job_key
 
 log = logging.getLogger(__name__)
--- a/coursefold/coordination/quota.py
+++ b/coursefold/coordination/quota.py
@@ -23,6 +23,7 @@
             self.used[name] = list(used)
 
     def take(self, spec: Job, tasks: int) -> None:
+        """Count tasks as used."""
         used = self.used.setdefault(spec.team, [0.0, 0.0])
         used[0] += spec.cpus * tasks
         used[1] += spec.gpus * tasks
@@ -42,6 +43,7 @@
         )
 
     def why_not(self, spec: Job) -> str:
+        """Why no more of the job may start, in its user's words."""
         team = self.teams[spec.team]
         if team.gpus_max and spec.gpus:
             return f"team at its limit of {team.gpus_max:g} GPUs"
--- a/coursefold/coordination/stability.py
+++ b/coursefold/coordination/stability.py
@@ -16,6 +16,7 @@
         self.carry = 0.0
 
     def lost(self, now: float, count: int = 1) -> None:
+        """Note machines that were lost."""
         self.times.extend([now] * count)
 
     def rate(self, now: float) -> float:
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -60,6 +60,7 @@
         self.gone: dict[str, None] = {}
 
     def get(self) -> dict[str, Row]:
+        """The rows as they are now, by machine."""
         ctx = self.ctx
         if ctx.now - self.at < ROWS_S:
             return self.rows
@@ -129,6 +130,7 @@
         self.said: dict[str, str] = {}
 
     def waits(self) -> bool:
+        """Is there something to say before the next summary is due?"""
         return bool(self.urgent or self.proposals or self.outcomes)
 
     def frame(self, wanted: set[str], unreachable: set[str], reasons: dict[JobId, str]) -> bytes:
--- a/coursefold/coordination/upgrade.py
+++ b/coursefold/coordination/upgrade.py
@@ -19,7 +19,7 @@
 
 from coursefold.coordination.context import Context
 from coursefold.storage import records
-from coursefold.storage.queue import FIRST, LATER, Edit, NotApplicableError, Remove, Result
+from coursefold.storage.edits import FIRST, LATER, Edit, NotApplicableError, Remove, Result
 from coursefold.storage.records import JobRecord, Level, PoolRecord, Version
 
 log = logging.getLogger(__name__)
@@ -98,6 +98,7 @@
         ]
 
     def tick(self) -> None:
+        """One round: announce our version, watch the others', and switch while we lead."""
         ctx = self.ctx
         if not ctx.view.loaded or not ctx.permit or ctx.now >= ctx.lease_until:
             return
--- a/coursefold/coordination/urgency.py
+++ b/coursefold/coordination/urgency.py
@@ -35,6 +35,7 @@
         self.at = -1e9
 
     def of(self, name: JobId, job: JobRecord) -> Urgent:
+        """Priority and latest end of a job, for the sake of those that need it too."""
         needs = self.ctx.view.needs
         if needs.version != self.version or self.ctx.now - self.at > FRESH_S:
             self.known.clear()
@@ -44,6 +45,7 @@
         return self._along(name)
 
     def rank(self, name: JobId, job: JobRecord) -> int:
+        """Priority of a job, smaller is more important."""
         return self.of(name, job).rank
 
     def _own(self, job: JobRecord) -> Urgent:
--- a/coursefold/policy/model.py
+++ b/coursefold/policy/model.py
@@ -33,40 +33,53 @@
     kind: str
 
     def value(self, env: Env) -> Value:
+        """The expression's value under these names."""
         raise NotImplementedError
 
 
 class Literal(Expr):
+    """A constant."""
+
     def __init__(self, kind: str, held: Value) -> None:
         self.kind, self.held = kind, held
 
     def value(self, env: Env) -> Value:
+        """The expression's value under these names."""
         return self.held
 
 
 class Name(Expr):
+    """A name of the language."""
+
     def __init__(self, kind: str, name: str) -> None:
         self.kind, self.name = kind, name
 
     def value(self, env: Env) -> Value:
+        """The expression's value under these names."""
         return env[self.name]
 
 
 class Not(Expr):
+    """A truth turned over."""
+
     kind = "truth"
 
     def __init__(self, inner: Expr) -> None:
         self.inner = inner
 
     def value(self, env: Env) -> Value:
+        """The expression's value under these names."""
         return not self.inner.value(env)
 
 
 class Negative(Expr):
+    """A number with the other sign."""
+
     def __init__(self, inner: Expr) -> None:
         self.kind, self.inner = inner.kind, inner
 
     def value(self, env: Env) -> Value:
+        """The expression's value under these names."""
         return -float(self.inner.value(env))
 
 
@@ -77,6 +90,7 @@
         self.kind, self.op, self.left, self.right = kind, op, left, right
 
     def value(self, env: Env) -> Value:
+        """The expression's value under these names."""
         left = self.left.value(env)
         if self.op == "and":
             return bool(left) and bool(self.right.value(env))
@@ -117,6 +131,8 @@
 
 
 class Rule(NamedTuple):
+    """A condition, and what it asks for while it holds."""
+
     name: str
     condition: Expr
     action: str  # recruit, release, at_least, at_most
--- a/coursefold/protocol/wire.py
+++ b/coursefold/protocol/wire.py
@@ -55,6 +55,8 @@
 
 
 class TaskReport(Struct, frozen=True):
+    """A task on a machine, as its worker reports it."""
+
     task: str = field(name="Piece")
     attempt: U64 = field(name="Try")
     state: Literal["pulling", "gathering", "running", "flushing", "exited"] = field(name="Status")
@@ -78,6 +80,8 @@
 
 
 class Order(Struct, frozen=True, omit_defaults=True):
+    """A command to a worker."""
+
     verb: Literal["run", "stop", "forget"] = field(name="Verb")
     task: str = field(name="Piece")
     attempt: int = field(name="Try")
@@ -100,6 +104,8 @@
 
 
 class MachineType(Struct, frozen=True):
+    """What machines of one kind have and cost."""
+
     name: Text = field(name="Name")
     cpus: Amount = field(name="Vcpus")
     gpus: Amount = field(name="Accelerators")
@@ -113,10 +119,14 @@
 
 
 class Catalog(Struct, frozen=True):
+    """GET /catalog."""
+
     builds: list[MachineType] = field(name="Builds")
 
 
 class HireRequest(Struct, frozen=True):
+    """POST /machines."""
+
     hire: str = field(name="Hire")
     build: str = field(name="Build")
     zone: str = field(name="Site")
@@ -125,10 +135,14 @@
 
 
 class Boxes(Struct, frozen=True):
+    """Names of machines."""
+
     machines: list[str] = field(name="Boxes")
 
 
 class Listed(Struct, frozen=True):
+    """A machine in the cloud's list."""
+
     name: Text = field(name="NameId")
     addr: str = field(name="Addr")
     build: Text = field(name="Build")
@@ -139,36 +153,50 @@
 
 
 class MachineList(Struct, frozen=True):
+    """GET /machines."""
+
     machines: list[Listed] = field(name="Boxes")
     more: bool = field(name="More", default=False)
 
 
 class KeyRow(Struct, frozen=True):
+    """A key of the state service."""
+
     key: str = field(name="K")
     value: Any = field(name="Value")
     stamp: int = field(name="Stamp")
 
 
 class KeyRows(Struct, frozen=True):
+    """A page of keys."""
+
     rows: list[KeyRow] = field(name="Rows")
     more: bool = field(name="More")
     ledger: int = field(name="Ledger")
 
 
 class Ledger(Struct, frozen=True):
+    """A revision of the state service."""
+
     ledger: int = field(name="Ledger")
 
 
 class Conflict(Struct, frozen=True):
+    """A transaction whose conditions failed, and which."""
+
     ledger: int = field(name="Ledger")
     failed: list[str] = []
 
 
 class Lease(Struct, frozen=True):
+    """A lease of the state service."""
+
     permit: int = field(name="Permit")
 
 
 class NewsItem(Struct, frozen=True):
+    """A change of one key."""
+
     stamp: int = field(name="Stamp")
     set: str | None = field(name="Set", default=None)
     value: Any = field(name="Value", default=None)
@@ -176,6 +204,8 @@
 
 
 class News(Struct, frozen=True):
+    """GET /follow."""
+
     ledger: int = field(name="Ledger")
     news: list[NewsItem] = field(name="News")
 
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -16,7 +16,7 @@
 from coursefold.protocol.wire import DirectOrders, KeyRow, News, encode
 from coursefold.settings import Settings
 from coursefold.storage import records
-from coursefold.storage.queue import Batch
+from coursefold.storage.batches import Batch
 from coursefold.storage.records import Ending, ending_key
 from coursefold.transport.http_client import HttpClient, NoAnswerError
 from coursefold.transport.peers import PeerLink, PeerServer
@@ -48,6 +48,7 @@
 
 
 def now() -> Moment:
+    """The steady clock."""
     return Moment(time.monotonic())
 
 
--- a/coursefold/settings.py
+++ b/coursefold/settings.py
@@ -2,8 +2,9 @@
 
 import math
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Meta, Struct
@@ -13,6 +14,7 @@
 LEAST_KB = 0.5
 CANCEL_MARGIN_S = 5.0  # beyond a lease: the state service's next news may take 4 s
 CLOCK_DRIFT = 1.002  # two clocks may each be off by 0.05%; this is twice that and more
+T = TypeVar("T")
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
 
 
@@ -21,12 +23,16 @@
 
 
 class Sibling(Struct, frozen=True):
+    """Another controller of this cell."""
+
     member: Name
     zone: Name
     peer_addr: str
 
 
 class Services(Struct, frozen=True):
+    """Addresses of the cloud and the state service."""
+
     cloud: str
     state: str
 
@@ -51,6 +57,8 @@
 
 
 class Workers(Struct, frozen=True):
+    """Times that workers go by."""
+
     report_s: Positive
     lease_s: Positive
     gang_wait_s: Positive
@@ -68,6 +76,8 @@
 
 
 class StateLimits(Struct, frozen=True):
+    """What the state service takes now, and later."""
+
     rps: Positive
     write_rps: Positive
     value_kb: Positive
@@ -82,17 +92,23 @@
 
 
 class CloudLimits(Struct, frozen=True):
+    """What the cloud takes, and how late its list is."""
+
     rps: Positive
     list_lag_s: Amount
 
 
 class Resources(Struct, frozen=True):
+    """What one controller may use."""
+
     cores: Positive
     memory_mb: Positive
     fd_limit: Annotated[int, Meta(ge=32, le=10_000_000)]
 
 
 class Params(Struct, frozen=True):
+    """What all controllers have in common."""
+
     zones: list[Name]
     teams: list[Team]
     workers: Workers
@@ -104,6 +120,8 @@
 
 
 class Settings(Struct, frozen=True):
+    """One controller's settings."""
+
     member: Name
     zone: Name
     listen: str
@@ -172,13 +190,12 @@
             _finite(inner, f"{path}[{at}]")
 
 
-def load(path: Path) -> Settings:
-    """Read and check a settings file; every fault is a SettingsError that names it."""
+def read_file(path: Path, read: Callable[[dict[str, Any]], T]) -> T:
+    """What `read` makes of a TOML file; every fault is a SettingsError that names it."""
     try:
         raw = tomllib.loads(path.read_text(encoding="utf-8"))
         _finite(raw, "")
-        settings = msgspec.convert(raw, Settings)
-        _check(settings)
+        return read(raw)
     except SettingsError as wrong:
         raise SettingsError(f"{path}: {wrong}") from None
     except OSError as wrong:
@@ -189,4 +206,14 @@
         what, _, where = str(wrong).partition(" - at ")
         where = where.strip("`").removeprefix("$.") or "top level"
         raise SettingsError(f"{path}: {where}: {what}") from None
+
+
+def _read_settings(raw: dict[str, Any]) -> Settings:
+    settings = msgspec.convert(raw, Settings)
+    _check(settings)
     return settings
+
+
+def load(path: Path) -> Settings:
+    """Read and check a settings file."""
+    return read_file(path, _read_settings)
--- /dev/null
+++ b/coursefold/storage/batches.py
@@ -0,0 +1,120 @@
+"""Transactions: edits of many keys, put together within the state service's limits."""
+
+from typing import Any, NamedTuple
+
+from coursefold.storage import records
+from coursefold.storage.edits import Edit, End, Remove, Result
+from coursefold.storage.limits import Limits
+from coursefold.storage.view import View
+
+MOST_BYTES = 48 * 1024  # of 64 KiB, counted in JSON; conditions and names take some
+KEY_BYTES = 200  # of a changed key's condition and names
+REMOVE_BYTES = 100
+END_BYTES = 200
+CONDITIONS_PER_WRITE = 4  # by the protocol
+CONDITIONS_PER_KEY = 3  # its own, its ending's, and the roster's
+UNLIMITED = 1 << 30
+
+
+class Batch(NamedTuple):
+    """A transaction under way."""
+
+    body: dict[str, Any]
+    results: dict[str, Result]
+    edits: list[Edit]
+    writes: int
+    parts: dict[str, int]  # of the records laid over several keys
+    limits: Limits
+
+
+class KeyChange(NamedTuple):
+    """What one key's result changes, its size, and how many parts the record has now."""
+
+    writes: list[dict[str, Any]]
+    size: int
+    parts: int
+
+
+class Draft:
+    """A transaction that is being put together."""
+
+    def __init__(self, view: View, limits: Limits) -> None:
+        self.view, self.limits = view, limits
+        self.fence: int | None = None
+        self.guards: dict[str, int] = {}
+        self.writes: list[dict[str, Any]] = []
+        self.results: dict[str, Result] = {}
+        self.edits: list[Edit] = []
+        self.size = 0
+        self.parts: dict[str, int] = {}
+
+    def has_room(self, budget: int) -> bool:
+        """May it have another key, with so many changes allowed by the rate?"""
+        most_guards = CONDITIONS_PER_WRITE * self.limits.txn_ops
+        return (
+            len(self.writes) < min(self.limits.txn_ops, budget)
+            and len(self.guards) + CONDITIONS_PER_KEY <= most_guards
+        )
+
+    def goes_with(self, edits: list[Edit]) -> bool:
+        """Are the edits fenced, or not, like those so far?"""
+        token = self.view.token
+        is_fenced = any(edit.fence is not None and edit.fence == token for edit in edits)
+        return not self.edits or is_fenced == (self.fence is not None)
+
+    def is_too_heavy(self, change: KeyChange) -> bool:
+        """Would the transaction have too many bytes with this change?"""
+        return self.size + change.size > MOST_BYTES
+
+    def takes(self, change: KeyChange) -> bool:
+        """Does the change fit? The first one always does."""
+        if not self.writes:
+            return True
+        within = len(self.writes) + len(change.writes) <= self.limits.txn_ops
+        return within and not self.is_too_heavy(change)
+
+    def add(self, key: str, edits: list[Edit], result: Result, change: KeyChange) -> None:
+        """Add a key's result, on the condition that its record is still the one we know."""
+        self.parts[key] = change.parts
+        self.size += change.size + KEY_BYTES
+        self.guards[key] = self.view.stamp(key)
+        if key.startswith(records.JOBS) and self.guards[key] == 0:
+            # An accept must not bring back a job that is over.
+            self.guards[key.replace(records.JOBS, records.ENDINGS, 1)] = 0
+        for edit in edits:
+            if edit.fence is not None:
+                self.fence = edit.fence
+        self.writes.extend(change.writes)
+        self.results[key] = result
+        self.edits.extend(edits)
+
+    def batch(self) -> Batch:
+        """The transaction as it is sent."""
+        if self.fence is not None:
+            self.guards[records.ROSTER] = self.fence
+        guards = [{"K": key, "Stamp": stamp} for key, stamp in self.guards.items()]
+        body = {"Guards": guards, "Then": self.writes}
+        return Batch(body, self.results, self.edits, len(self.writes), self.parts, self.limits)
+
+    def change_of(self, key: str, result: Result, permit: int | None) -> KeyChange:
+        """What a key's result changes; a large record is laid over several keys."""
+        old = self.view.spread.get(key, 0)
+        gone = [{"Remove": records.part_key(key, number)} for number in range(1, old + 1)]
+        if isinstance(result, Remove):
+            return KeyChange([{"Remove": key}, *gone], REMOVE_BYTES, 0)
+        if isinstance(result, End):
+            ending = key.replace(records.JOBS, records.ENDINGS, 1)
+            value = records.dump(result.ending)
+            moved = [{"Remove": key}, {"Set": ending, "Value": value}]
+            return KeyChange([*moved, *gone], END_BYTES, 0)
+        level = self.view.level
+        limit = self.limits.value if level else UNLIMITED
+        head, parts = records.spread(records.dump(result, level), limit)
+        write: dict[str, Any] = {"Set": key, "Value": head}
+        if permit is not None:
+            write["Permit"] = permit
+        writes = [write]
+        for number, text in enumerate(parts, 1):
+            writes.append({"Set": records.part_key(key, number), "Value": text})
+        size = records.size(head) + sum(len(text) for text in parts)
+        return KeyChange(writes + gone[len(parts) :], size, len(parts))
--- a/coursefold/storage/needs.py
+++ b/coursefold/storage/needs.py
@@ -31,6 +31,7 @@
         return name in self.left or name in self.doomed
 
     def is_doomed(self, name: JobId) -> bool:
+        """Is the job cancelled with one that it needs?"""
         return name in self.doomed
 
     def named(self, name: JobId) -> bool:
--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -15,105 +15,20 @@
 
 import logging
 from collections.abc import Callable
-from typing import Any, NamedTuple
 
 import msgspec
 from msgspec import Struct
 
 from coursefold.protocol.ids import Moment
 from coursefold.storage import records
+from coursefold.storage.batches import Batch, Draft
+from coursefold.storage.edits import FIRST, Edit, End, NotApplicableError, Remove, Result
+from coursefold.storage.limits import Budget, Limits
 from coursefold.storage.records import JobRecord
 from coursefold.storage.view import View
 
 log = logging.getLogger(__name__)
 
-FIRST, SOON, LATER = 0, 1, 2
-
-
-class NotApplicableError(Exception):
-    """Raised by an edit that no longer applies; its text says why."""
-
-
-class Remove(NamedTuple):
-    """An edit's result: the key goes."""
-
-
-class End(NamedTuple):
-    """An edit's result: an ended job's final record moves to where it stays for good."""
-
-    ending: records.Ending
-
-
-Result = Struct | Remove | End
-Change = Callable[[Struct | None], Result]
-
-
-class Edit:
-    """One change of one key. `fenced` edits hold only under the roster they were made for."""
-
-    __slots__ = ("change", "done", "fence", "key", "permit", "rank", "tag", "tries")
-
-    def __init__(
-        self,
-        key: str,
-        change: Change,
-        *,
-        rank: int = SOON,
-        fence: int | None = None,
-        done: Callable[[bool, str], None] | None = None,
-        permit: int | None = None,
-        tag: str = "",
-    ) -> None:
-        self.key = key
-        self.change = change
-        self.rank = rank
-        self.fence = fence
-        self.done = done
-        self.permit = permit
-        self.tag = tag
-        self.tries = 0
-
-    def settle(self, ok: bool, why: str = "") -> None:
-        if self.done is not None:
-            self.done(ok, why)
-
-
-class Limits(NamedTuple):
-    """What the state service takes."""
-
-    txn_ops: int
-    value: int  # bytes
-    write_rps: float
-
-
-class Batch(NamedTuple):
-    """A transaction under way."""
-
-    body: dict[str, Any]
-    results: dict[str, Result]
-    edits: list[Edit]
-    writes: int
-    parts: dict[str, int]  # of the records laid over several keys
-    limits: Limits
-
-
-class Budget:
-    """A token bucket; local, for nodes share the service's rate without asking each other."""
-
-    def __init__(self, rate: float, burst: float) -> None:
-        self.rate, self.burst = rate, burst
-        self.level, self.at = burst, Moment(0.0)
-
-    def fill(self, now: Moment) -> float:
-        if now > self.at:
-            self.level = min(self.burst, self.level + (now - self.at) * self.rate)
-            self.at = now
-        return self.level
-
-    def take(self, now: Moment, amount: float) -> None:
-        self.fill(now)
-        self.level -= amount
-
 
 class CommitQueue:
     """Edits waiting and under way."""
@@ -220,6 +135,7 @@
         return sorted(self.stale)
 
     def refreshed(self, key: str) -> None:
+        """The key was read again."""
         self.stale.discard(key)
 
     def _build(
@@ -232,8 +148,7 @@
         before the first one is written.
         """
         held = self.view.held.get(key)
-        current: Struct | None = held.record if held else None
-        before = current
+        before: Struct | None = held.record if held else None
         if key in self.view.unreadable:
             # Whatever it is, it is not ours to overwrite.
             for edit in edits:
@@ -242,26 +157,16 @@
         kept: list[Edit] = []
         deferred: list[Edit] = []
         result: Result | None = None
+        current = before
         for edit in edits:
             if isinstance(result, (End, Remove, records.Ending)):
                 deferred.append(edit)
                 continue
-            if edit.fence is not None and edit.fence != self.view.token:
-                self._settle(edit, False, "fenced")
-                continue
-            try:
-                outcome = edit.change(current)
-            except NotApplicableError as void:
-                if kept:
-                    deferred.append(edit)
-                else:
-                    self._settle(edit, False, str(void) or "void")
+            outcome = self._apply(edit, current, deferred if kept else None)
+            if outcome is None:
                 continue
             if one_by_one and self._too_large(outcome):
-                if self._shrinks(before, outcome):
-                    self.parked.setdefault(key, []).append(edit)
-                else:
-                    self._settle(edit, False, "too large")
+                self._put_aside(edit, before, outcome)
                 continue
             if isinstance(outcome, records.Ending) and self.view.level:
                 outcome = msgspec.structs.replace(outcome, at=round(self.wall, 1))
@@ -276,6 +181,29 @@
             self.waiting[key] = deferred
         return kept, result
 
+    def _apply(
+        self, edit: Edit, current: Struct | None, deferred: list[Edit] | None
+    ) -> Result | None:
+        """An edit's outcome; None if it does not apply, and is settled or, if it may, deferred."""
+        if edit.fence is not None and edit.fence != self.view.token:
+            self._settle(edit, False, "fenced")
+            return None
+        try:
+            return edit.change(current)
+        except NotApplicableError as why:
+            if deferred is not None:
+                deferred.append(edit)
+            else:
+                self._settle(edit, False, str(why) or "void")
+            return None
+
+    def _put_aside(self, edit: Edit, before: Struct | None, outcome: Result) -> None:
+        """An edit whose record is too large: it waits if it makes the record smaller."""
+        if self._shrinks(before, outcome):
+            self.parked.setdefault(edit.key, []).append(edit)
+        else:
+            self._settle(edit, False, "too large")
+
     def _too_large(self, result: Result | None) -> bool:
         """True if the record cannot be written within the service's limits."""
         if not isinstance(result, (JobRecord, records.PoolRecord)):
@@ -311,80 +239,32 @@
             return None  # before a long backlog is sorted for nothing
         ranks = {k: min(e.rank for e in self.waiting[k]) for k in ready}
         ready.sort(key=ranks.__getitem__)
-        fence: int | None = None
-        guards: dict[str, int] = {}
-        then: list[dict[str, Any]] = []
-        results: dict[str, Result] = {}
-        taken: list[Edit] = []
-        weight = 0
-        counts: dict[str, int] = {}
-        most_guards = 4 * self.limits.txn_ops
+        draft = Draft(self.view, self.limits)
         for key in ready:
             room = urgent if ranks[key] == FIRST else bulk
-            if len(then) >= min(self.limits.txn_ops, room) or len(guards) + 3 > most_guards:
+            if not draft.has_room(room):
                 break
-            edits = self.waiting[key]
-            fences = {e.fence for e in edits if e.fence is not None and e.fence == self.view.token}
-            if taken and bool(fences) != (fence is not None):
-                continue
-            del self.waiting[key]
-            edits, result = self._build(key, edits)
-            if result is None:
-                continue
-            ops, value_size, parts = self._ops(key, result, edits[-1].permit)
-            if then and (
-                weight + value_size > 48 * 1024 or len(then) + len(ops) > self.limits.txn_ops
-            ):
-                self.waiting[key] = [*edits, *self.waiting.get(key, [])]
-                if weight + value_size > 48 * 1024:
-                    break
-                continue  # something smaller may still fit
-            counts[key] = parts
-            weight += value_size + 200
-            guards[key] = self.view.stamp(key)
-            if key.startswith(records.JOBS) and guards[key] == 0:
-                # An accept must not bring back a job that is over.
-                guards[key.replace(records.JOBS, records.ENDINGS, 1)] = 0
-            for e in edits:
-                if e.fence is not None:
-                    fence = e.fence
-            then.extend(ops)
-            results[key] = result
-            taken.extend(edits)
-        if not then:
+            if draft.goes_with(self.waiting[key]) and not self._add(draft, key):
+                break
+        if not draft.writes:
             return None
-        if fence is not None:
-            guards[records.ROSTER] = fence
-        first = sum(1 for key in results if ranks[key] == FIRST)
+        first = sum(1 for key in draft.results if ranks[key] == FIRST)
         self.first.take(now, min(first, self.first.level))
-        self.budget.take(now, len(then) - min(first, len(then)))
-        self.flying.update(results)
-        body = {"Guards": [{"K": k, "Stamp": s} for k, s in guards.items()], "Then": then}
-        return Batch(body, results, taken, len(then), counts, self.limits)
-
-    def _ops(
-        self, key: str, result: Result, permit: int | None
-    ) -> tuple[list[dict[str, Any]], int, int]:
-        """A result's changes, their size, and how many parts the record has now."""
-        old = self.view.spread.get(key, 0)
-        gone = [{"Remove": records.part_key(key, n)} for n in range(1, old + 1)]
-        if isinstance(result, Remove):
-            return [{"Remove": key}, *gone], 100, 0
-        if isinstance(result, End):
-            ending = key.replace(records.JOBS, records.ENDINGS, 1)
-            value = records.dump(result.ending)
-            return [{"Remove": key}, {"Set": ending, "Value": value}, *gone], 200, 0
-        level = self.view.level
-        value = records.dump(result, level)
-        limit = self.limits.value if level else 1 << 30
-        head, parts = records.spread(value, limit)
-        op: dict[str, Any] = {"Set": key, "Value": head}
-        if permit is not None:
-            op["Permit"] = permit
-        ops = [op]
-        ops += [{"Set": records.part_key(key, n), "Value": t} for n, t in enumerate(parts, 1)]
-        size = records.size(head) + sum(len(text) for text in parts)
-        return ops + gone[len(parts) :], size, len(parts)
+        self.budget.take(now, len(draft.writes) - min(first, len(draft.writes)))
+        self.flying.update(draft.results)
+        return draft.batch()
+
+    def _add(self, draft: Draft, key: str) -> bool:
+        """Add a key's edits to a transaction; False if it is full."""
+        edits, result = self._build(key, self.waiting.pop(key))
+        if result is None:
+            return True
+        change = draft.change_of(key, result, edits[-1].permit)
+        if draft.takes(change):
+            draft.add(key, edits, result, change)
+            return True
+        self.waiting[key] = [*edits, *self.waiting.get(key, [])]
+        return not draft.is_too_heavy(change)  # something smaller may still fit
 
     def applied(self, batch: Batch, ledger: int) -> None:
         """The transaction was carried out at this revision."""
--- a/coursefold/storage/records.py
+++ b/coursefold/storage/records.py
@@ -45,26 +45,32 @@
 
 
 def job_key(job: JobId) -> Key:
+    """Of a job that lives, or has ended lately."""
     return Key(JOBS + job)
 
 
 def ending_key(job: JobId) -> Key:
+    """Of an ended job."""
     return Key(ENDINGS + job)
 
 
 def member_key(member: Member) -> Key:
+    """Of a live controller."""
     return Key(MEMBERS + member)
 
 
 def pool_key(build: str) -> Key:
+    """Of a pool's rentals."""
     return Key(POOLS + build)
 
 
 def cell_link_key(cell: str) -> Key:
+    """Of what is granted to and by another cell."""
     return Key(CELL_LINKS + cell)
 
 
 def version_key(member: str) -> Key:
+    """Of what a controller's process can read."""
     return Key(VERSIONS + member)
 
 
@@ -104,6 +110,7 @@
     level: int = 0  # of the form in which it was read
 
     def member(self, name: str) -> MemberRecord | None:
+        """A member by its name."""
         return next((m for m in self.members if m.name == name), None)
 
 
@@ -161,9 +168,11 @@
 
     @property
     def done_count(self) -> int:
+        """Tasks that are done."""
         return sum(high - low + 1 for low, high in self.done)
 
     def is_done(self, index: int) -> bool:
+        """Is the task done?"""
         return any(low <= index <= high for low, high in self.done)
 
     def waiting(self, most: int) -> list[int]:
@@ -183,6 +192,7 @@
 
     @property
     def waiting_count(self) -> int:
+        """Tasks that are neither done nor dealt."""
         return self.spec.tasks - self.done_count - len(self.entries)
 
 
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -104,6 +104,7 @@
         self._entries: dict[tuple[JobId, int], Entry] = {}
 
     def stamp(self, key: str) -> int:
+        """The revision of a key's record; 0 if there is none."""
         held = self.held.get(key)
         return held.stamp if held else 0
 
@@ -250,36 +251,53 @@
 
     def _index(self, name: JobId, before: JobRecord | None, after: JobRecord | None) -> None:
         """Bring the indices from one state of a job to the next."""
-        old = before.entries if before else []
-        new = after.entries if after else []
+        self._index_needs(name, before, after)
+        self._index_cells(name, after)
+        self._index_status(name, after)
+        self._index_places(name, before, after)
+        self._count_use(before, after)
+
+    def _index_needs(self, name: JobId, before: JobRecord | None, after: JobRecord | None) -> None:
         if after is not None and after.needs and after.status == records.LIVE:
             if before is None or before.needs != after.needs:
                 self._revive(self.needs.add(name, after.needs, self._how(after.needs)))
         elif before is not None and before.needs:
             self.needs.remove(name)
-        self._index_cells(name, after)
-        if after is not None and after.status == records.CANCELLED:
-            self.cancelled[name] = None
-        else:
+
+    def _index_status(self, name: JobId, job: JobRecord | None) -> None:
+        """Is the job cancelled, and has it tasks to deal?"""
+        if job is None:
             self.cancelled.pop(name, None)
-        if after is None:
             self.waiting.pop(name, None)
+            return
+        if job.status == records.CANCELLED:
+            self.cancelled[name] = None
         else:
-            self._queue(name, after)
-            if after.status == records.CANCELLED:
-                self._revive(self.needs.ended(name, records.CANCELLED, 0.0))
+            self.cancelled.pop(name, None)
+        self._queue(name, job)
+        if job.status == records.CANCELLED:
+            self._revive(self.needs.ended(name, records.CANCELLED, 0.0))
+
+    def _index_places(self, name: JobId, before: JobRecord | None, after: JobRecord | None) -> None:
+        """Which tasks have which places; machines of which anything changed are noted."""
+        old = before.entries if before else []
+        new = after.entries if after else []
         status_changed = before is not None and after is not None and before.status != after.status
-        if old != new or status_changed:
-            had = set(old)
-            has = set(new)
-            for entry in old:
-                if entry not in has:
-                    self._unplace(name, entry)
-            for entry in new:
-                if entry not in had:
-                    self._place(name, entry)
-                elif status_changed:
-                    self.moved[entry.machine] = None
+        if old == new and not status_changed:
+            return
+        had = set(old)
+        has = set(new)
+        for entry in old:
+            if entry not in has:
+                self._unplace(name, entry)
+        for entry in new:
+            if entry not in had:
+                self._place(name, entry)
+            elif status_changed:
+                self.moved[entry.machine] = None
+
+    def _count_use(self, before: JobRecord | None, after: JobRecord | None) -> None:
+        """What the job takes of its team's limit."""
         known = after or before
         more = (after.counted_tasks if after else 0) - (before.counted_tasks if before else 0)
         if known is not None and more:
@@ -353,28 +371,35 @@
         if key in self._heads and self._heads[key][1] <= stamp:
             del self._heads[key]
         if key.startswith((records.JOBS, records.MEMBERS)):
-            # A removal seen before an older write of the same key must win over it.
-            self.gone[key] = max(stamp, self.gone.get(key, 0))
-            if len(self.gone) > REMOVALS:
-                for old in sorted(self.gone, key=self.gone.__getitem__)[: REMOVALS // 2]:
-                    del self.gone[old]
+            self._remember_removal(key, stamp)
         known = self.held.pop(key, None)
         self.unswept.pop(JobId(key.removeprefix(records.JOBS)), None)
         if known is None:
             return False
-        if isinstance(known.record, JobRecord):
+        self._drop_record(key, known.record)
+        return True
+
+    def _remember_removal(self, key: str, stamp: int) -> None:
+        """A removal seen before an older write of the same key must win over it."""
+        self.gone[key] = max(stamp, self.gone.get(key, 0))
+        if len(self.gone) > REMOVALS:
+            for old in sorted(self.gone, key=self.gone.__getitem__)[: REMOVALS // 2]:
+                del self.gone[old]
+
+    def _drop_record(self, key: str, record: Struct) -> None:
+        """Take a removed record out of the indices."""
+        if isinstance(record, JobRecord):
             name = JobId(key.removeprefix(records.JOBS))
             self.jobs.pop(name, None)
-            self._index(name, known.record, None)
-        elif isinstance(known.record, MemberRecord):
-            self.members.pop(known.record.name, None)
-        elif isinstance(known.record, PoolRecord):
+            self._index(name, record, None)
+        elif isinstance(record, MemberRecord):
+            self.members.pop(record.name, None)
+        elif isinstance(record, PoolRecord):
             self.pools.pop(key.removeprefix(records.POOLS), None)
-        elif isinstance(known.record, Version):
+        elif isinstance(record, Version):
             self.versions.pop(key.removeprefix(records.VERSIONS), None)
-        elif isinstance(known.record, CellLink):
+        elif isinstance(record, CellLink):
             self.links.pop(key.removeprefix(records.CELL_LINKS), None)
-        return True
 
     def on_machine(self, machine: str) -> list[tuple[JobId, Entry]]:
         """Entries whose place (or, while dealt, hint) is this machine."""
--- a/coursefold/transport/peers.py
+++ b/coursefold/transport/peers.py
@@ -41,6 +41,7 @@
         self.listen(port, host)
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """One connection, until it ends."""
         if not self.allows(address[0]):
             log.error("connection from %s refused: in no allowed network", address[0])
             stream.close()
--- a/coursefold/transport/server.py
+++ b/coursefold/transport/server.py
@@ -40,6 +40,7 @@
         self.swept_at = time.monotonic()
 
     def opened(self, stream: IOStream) -> None:
+        """A connection was accepted: close another if there are too many."""
         if len(self.used) >= self.most:
             self.used = {s: u for s, u in self.used.items() if not s.closed()}
         while len(self.used) >= self.most:
--- a/coursefold/transport/state.py
+++ b/coursefold/transport/state.py
@@ -18,7 +18,7 @@
     decode,
     encode,
 )
-from coursefold.storage.queue import Budget
+from coursefold.storage.limits import Budget
 from coursefold.transport.http_client import HttpClient, NoAnswerError
 
 log = logging.getLogger(__name__)
@@ -86,6 +86,7 @@
         return True
 
     async def grant(self, life_ms: int) -> int:
+        """A new lease."""
         status, answer = await self._ask("POST", "/leases", {"LifeMs": life_ms})
         if status != 200:
             raise UnavailableError(f"lease: {status}", status)
@@ -97,6 +98,7 @@
         return status == 200
 
     async def get(self, key: str) -> KeyRow | None:
+        """A key; None if it does not exist."""
         status, answer = await self._ask("GET", f"/keys/{key}")
         return self._decode(answer, KeyRow) if status == 200 else None
 
@@ -130,6 +132,7 @@
         return self._decode(answer, News) if status == 200 else None
 
     async def commit(self, body: dict[str, Any]) -> Outcome:
+        """One transaction."""
         status, answer = await self._ask("POST", "/commit", body)
         if status == 200:
             return Outcome(True, self._decode(answer, Ledger).ledger, [])
@@ -148,4 +151,5 @@
 
 
 def jitter(pause: float) -> float:
+    """A pause, up to two fifths shorter or longer."""
     return pause * random.uniform(0.6, 1.4)
--- a/tests/cells_world.py
+++ b/tests/cells_world.py
@@ -104,6 +104,11 @@
             name: job.away.stage for name, job in self.records().items() if job.is_away and job.away
         }
 
+    def away_at(self, cell: str) -> set[str]:
+        """Our jobs in one other cell."""
+        found = self.records().items()
+        return {name for name, job in found if job.is_away and job.away and job.away.cell == cell}
+
     def guests(self) -> dict[str, GuestStage]:
         """Other cells' jobs here."""
         return {name: job.guest.stage for name, job in self.records().items() if job.guest}
--- /dev/null
+++ b/tests/fleet_node.py
@@ -0,0 +1,269 @@
+"""A controller in the simulated fleet: what `coursefold.service` does, without sockets."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from coursefold.coordination.effects import Answer, Read
+from coursefold.protocol.ids import JobId, Moment, WallTime
+from coursefold.protocol.wire import encode
+from coursefold.storage import records
+from coursefold.storage.batches import Batch
+from tests.fleet_jobs import RuleBrokenError
+from tests.production import OURS
+from tests.world import EPOCH, SETTINGS
+
+if TYPE_CHECKING:
+    from tests.fleet import Fleet
+
+LIFE_MS = 2500
+ROUND_S = 0.2
+ZONES = ("a", "b")
+
+
+class Node:
+    """What `coursefold.service` does for a core, without sockets."""
+
+    def __init__(self, world: "Fleet", number: int) -> None:
+        self.world, self.number, self.name = world, number, f"n{number}"
+        self.zone = ZONES[number % len(ZONES)]
+        self.refused_until = self.cut_until = self.frozen_until = 0.0
+        self.life = 0
+        self.up = False
+        self.skew = world.rng.uniform(-0.02, 0.02)
+        self.version = world.version
+        self.start()
+
+    def settings(self) -> Any:
+        others = [
+            {"member": f"n{i}", "zone": ZONES[i % 2], "peer_addr": f"127.0.0.1:{i + 10}"}
+            for i in range(self.world.size)
+            if i != self.number
+        ]
+        mine = {"member": self.name, "zone": self.zone, "siblings": others}
+        raw = SETTINGS | mine | {"params": self.world.params}
+        return msgspec.convert(raw, self.version.Settings)
+
+    def start(self) -> None:
+        self.life += 1
+        self.up = True
+        self.core = self.version.Core(self.settings())
+        self.world.started(self)
+        self.followed = -1
+        self.waiting: dict[int, Callable[[Answer | None], None]] = {}
+        self.tickets = 0
+        self.flying = 0
+        life = self.life
+        for member in self.core.tellers:
+            self._link(member, life)
+        self._loop(0.6, life, self._lease)
+        self._loop(0.12, life, self._follow)
+        self._loop(ROUND_S, life, self._tick)
+
+    def stop(self) -> None:
+        self.up = False
+        self.life += 1
+
+    def _loop(self, period: float, life: int, work: Callable[[], None]) -> None:
+        def step() -> None:
+            if self.life == life:
+                if self.stands(step):
+                    return
+                work()
+                self.world.after(period * self.world.rng.uniform(0.9, 1.1), step)
+
+        step()
+
+    def stands(self, work: Callable[[], None]) -> bool:
+        """A controller that stands still does its work, in order, once it goes on again."""
+        if self.world.now >= self.frozen_until:
+            return False
+        self.world.after(self.frozen_until - self.world.now, work)
+        return True
+
+    def enter(self) -> Any:
+        now = self.world.now
+        self.core.at(Moment(1000.0 + now), WallTime(EPOCH + now + self.skew))
+        return self.core
+
+    def state_up(self) -> bool:
+        world = self.world
+        if world.now >= world.outage_until > world.resumed_at:
+            world.resumed_at = world.outage_until
+            world.store.resume(world.now)
+        return world.now >= max(self.refused_until, self.cut_until, world.outage_until)
+
+    def _lease(self) -> None:
+        if not self.state_up():
+            return
+        core, store, now = self.enter(), self.world.store, self.world.now
+        ctx = core.ctx
+        if not ctx.permit or not store.touch(now, ctx.permit):
+            ctx.permit = store.grant(now, LIFE_MS)
+        ctx.lease_until = Moment(1000.0 + now + LIFE_MS / 1000.0)
+        ctx.state_ok_at = Moment(1000.0 + now)
+
+    def _follow(self) -> None:
+        if not self.state_up():
+            return
+        core, store = self.enter(), self.world.store
+        view = core.view
+        if self.followed < 0 or self.followed < store.ledger - 9000:
+            rows = [r for r in store.rows(records.ROOT) if "/e/" not in r["K"]]
+            view.reload([(r["K"], r["Value"], r["Stamp"]) for r in rows], store.ledger)
+        elif self.followed < store.ledger:
+            for item in store.since(self.followed, records.ROOT):
+                if "Set" in item:
+                    view.put(item["Set"], item["Value"], item["Stamp"])
+                else:
+                    view.drop(item["Remove"], item["Stamp"])
+        self.followed = view.ledger = store.ledger
+        core.ctx.follow_ok_at = core.ctx.state_ok_at = Moment(1000.0 + self.world.now)
+
+    def _tick(self) -> None:
+        self.enter().tick()
+        self.flush()
+
+    def flush(self) -> None:
+        for _ in range(20):
+            effects: list[Any] = self.core.drain()
+            version = self.version
+            for effect in effects:
+                if isinstance(effect, version.Answer):
+                    back = self.waiting.pop(effect.ticket, None)
+                    if back is not None:
+                        back(effect)
+                elif isinstance(effect, version.Vouch):
+                    self._vouch()
+                elif isinstance(effect, version.Read):
+                    self._read(effect)
+                elif isinstance(effect, version.Direct):
+                    self.world.direct(self, effect)
+                elif isinstance(effect, version.CloudCall):
+                    self.world.cloud_call(self, effect)
+            self._commit()
+            if all(isinstance(e, version.Tell) for e in effects) and not self.core.ctx.out:
+                return
+
+    def _vouch(self) -> None:
+        tickets, self.core.questions = self.core.questions, []
+        if not tickets:
+            return
+        if not self.state_up():
+            for ticket in tickets:
+                self.core.read_failed(ticket)
+            return
+        self._follow()
+        self.core.vouched(tickets)
+
+    def _read(self, read: Read) -> None:
+        if not self.state_up():
+            self.core.read_failed(read.ticket)
+            return
+        key = records.ending_key(JobId(read.job))
+        row = self.world.store.row(key)
+        record = self.version.records.parse(key, row["Value"]) if row else None
+        found = record if isinstance(record, self.version.records.Ending) else None
+        self.core.read(read.ticket, found)
+
+    def _commit(self) -> None:
+        world, queue = self.world, self.core.queue
+        now = Moment(1000.0 + world.now)
+        if queue.stale and self.state_up():
+            self._follow()
+            for key in queue.stale_keys():
+                ended = world.store.row(key.replace(records.JOBS, records.ENDINGS))
+                if key.startswith(records.JOBS) and key not in world.store.keys and ended:
+                    queue.over(key)
+                queue.refreshed(key)
+        while self.flying < 3:
+            batch = queue.next_batch(now)
+            if batch is None:
+                return
+            if not self.state_up():
+                queue.refused(batch, now, 0.3)
+                return
+            self._send(batch)
+
+    def _send(self, batch: Batch) -> None:
+        """One transaction: carried out a little later, its answer lost at times."""
+        world, core = self.world, self.core
+        queue, life = core.queue, self.life
+        self.flying += 1
+        if len(encode(batch.body)) > 64 * 1024:
+            raise RuleBrokenError("a transaction over its limits")
+        world.sent[self.version.name] += len(batch.body["Then"])
+        lost = world.rng.random() < world.lost_commits
+        delay = world.rng.uniform(0.005, 0.05) if not lost else world.rng.uniform(0.0, 9.0)
+
+        def land() -> None:
+            status, body = world.store.commit(world.now, batch.body)
+            if not lost:
+                heard(status, body)
+
+        def heard(status: int, body: Any) -> None:
+            if self.life != life or self.stands(lambda: heard(status, body)):
+                return
+            self.enter()
+            self.flying -= 1
+            self._take_outcome(batch, status, body)
+            self.flush()
+
+        def unanswered() -> None:
+            if self.life == life and not self.stands(unanswered):
+                self.enter()
+                self.flying -= 1
+                queue.unknown(batch, Moment(1000.0 + world.now), 0.3)
+
+        world.after(delay, land)
+        if lost:
+            world.after(1.5, unanswered)
+
+    def _take_outcome(self, batch: Batch, status: int, body: Any) -> None:
+        queue, ctx = self.core.queue, self.core.ctx
+        ctx.state_ok_at = Moment(1000.0 + self.world.now)
+        no_lease = b"lease" in encode(body)
+        if status == 200:
+            queue.applied(batch, body["Ledger"])
+        elif status == 409:
+            queue.conflicted(batch, body["failed"])
+        elif no_lease:
+            ctx.permit = 0
+            if self.version is OURS:
+                queue.lease_gone(batch)
+            else:
+                queue.invalid(batch)
+        else:
+            self.world.refused += 1
+            queue.invalid(batch)
+
+    def _link(self, member: str, life: int) -> None:
+        """Frames to one sibling; a refused one ends the connection, and all is said anew."""
+        self.enter().linked(member)
+        other = int(member[1:])
+
+        def send() -> None:
+            if self.life != life or self.stands(send):
+                return
+            world = self.world
+            if world.linked(self, other):
+                frame = self.enter().frame(member)
+                if frame:
+                    theirs = world.nodes[other].life
+
+                    def arrive() -> None:
+                        there = world.nodes[other]
+                        if there.stands(arrive):
+                            return
+                        if there.life == theirs and there.up and not there.enter().peer(frame):
+                            self.enter().linked(member)
+                        if there.up:
+                            there.flush()
+
+                    world.after(world.rng.uniform(0.001, 0.01), arrive)
+            else:
+                self.enter().linked(member)
+            world.after(0.15, send)
+
+        self.world.after(0.1, send)
--- /dev/null
+++ b/tests/fleet_users.py
@@ -0,0 +1,71 @@
+"""A user of the simulated fleet: asks as the protocol says, and holds answers against it."""
+
+from typing import TYPE_CHECKING
+
+from coursefold.coordination.effects import Answer
+from coursefold.protocol.wire import encode
+from tests.fleet_jobs import RuleBrokenError, UserJob
+
+if TYPE_CHECKING:
+    from tests.fleet import Fleet
+
+POLL_S = 5.0
+
+
+class User:
+    """One job's user: submits until it is accepted, polls until it is over."""
+
+    def __init__(self, world: "Fleet", job: UserJob) -> None:
+        self.world, self.job = world, job
+        self.body = encode(job.body)
+        self.asked_at = 0.0
+
+    def send(self) -> None:
+        if any(need.accepted_at < 0 for need in self.job.needs):
+            self.world.after(0.3, self.send)  # as soon as those that it needs are accepted
+            return
+        self.world.ask(lambda core, t: core.submit(self.body, t), self._sent)
+
+    def _sent(self, answer: Answer | None) -> None:
+        if answer is not None and answer.status in (200, 201):
+            self.world.told(self.job, answer)
+            self.world.after(POLL_S, self._poll)
+        elif answer is not None and answer.status in (400, 404, 422):
+            raise RuleBrokenError(
+                f"{self.job.name}: submission answered {answer.status} {answer.body}"
+            )
+        else:
+            self.world.after(1.0, self.send)
+
+    def _poll(self) -> None:
+        self.asked_at = self.world.now
+        if not self.job.over():
+            self.world.ask(lambda core, t: core.poll(self.job.name, t), self._polled)
+
+    def _polled(self, answer: Answer | None) -> None:
+        if answer is not None and answer.status == 404:
+            raise RuleBrokenError(f"{self.job.name}: forgotten")
+        if answer is not None and answer.status == 200:
+            self._check_lost(answer)
+            self.world.told(self.job, answer)
+        self.world.after(POLL_S * self.world.rng.uniform(0.8, 1.2), self._poll)
+
+    def _check_lost(self, answer: Answer) -> None:
+        """A job that needs a cancelled one is cancelled, for every later question."""
+        status = answer.body["Status"]
+        if status != "cancelled" and -1 < self.job.lost() < self.asked_at:
+            raise RuleBrokenError(f"{self.job.name}: {status}, and what it needs cancelled")
+
+    def cancel(self) -> None:
+        if self.job.accepted_at < 0:
+            self.world.after(2.0, self.cancel)
+            return
+        self.job.cancel = True
+        if not self.job.over():
+            self.world.ask(lambda core, t: core.cancel(self.job.name, t), self._cancelled)
+
+    def _cancelled(self, answer: Answer | None) -> None:
+        if answer is not None and answer.status == 200:
+            self.world.told(self.job, answer)
+        else:
+            self.world.after(1.0, self.cancel)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -15,7 +15,7 @@
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Catalog, Job, decode, encode
 from coursefold.storage import records
-from coursefold.storage.queue import NotApplicableError
+from coursefold.storage.edits import NotApplicableError
 from coursefold.storage.records import PLACED, Entry, JobRecord
 from tests.world import CATALOG, JOB, SETTINGS, World
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -17,7 +17,9 @@
 from coursefold.protocol.ids import JobId, Moment
 from coursefold.protocol.wire import Job, decode, encode
 from coursefold.storage import records
-from coursefold.storage.queue import CommitQueue, Edit, Limits
+from coursefold.storage.edits import Edit
+from coursefold.storage.limits import Limits
+from coursefold.storage.queue import CommitQueue
 from coursefold.storage.records import Ending, Entry, JobRecord, Level, MemberRecord, Roster
 from coursefold.storage.view import View
 from tests import test_fleet as days
