Cells: progress of jobs that are away; a test for each guard that none had missed

Need: what was done elsewhere was written at home only at a job's end, so a lost cell's jobs began anew. Change: done tasks are noted one job at a time when nothing else is to be written. With guards taken out one by one, no test missed: the record's own refusal to place a job that may not start here, stopping at a grant's end without a state service, dealing only under a grant, and holding a longer grant only once what it leaves out is stopped. Each has a test now.

--- a/coursefold/cells/edits.py
+++ b/coursefold/cells/edits.py
@@ -80,6 +80,26 @@
     return change
 
 
+def note_progress(cell: str, handle: Handle, done: Ranges) -> Change:
+    """Tasks that the guest cell says are done: shown to users, and not repeated if it is lost."""
+
+    def change(record: Struct | None) -> Result:
+        job, away = _away(record, cell, handle)
+        if away.stage == AwayStage.OFFERED or away.reservation != handle.reservation:
+            raise NotApplicableError("another reservation")
+        return replace(job, done=_with_done(job, done))
+
+    return change
+
+
+def _with_done(job: JobRecord, done: Ranges) -> Ranges:
+    """The job's done tasks and those that it has been told of."""
+    found = merged(job.done, done)
+    if found == job.done or found[-1][1] >= job.spec.tasks:
+        raise NotApplicableError("nothing new, or no such task")
+    return found
+
+
 def withdraw(cell: str, handle: Handle, wall: float, why: str) -> Change:
     """Have the guest cell stop and release the job."""
 
--- a/coursefold/cells/guest.py
+++ b/coursefold/cells/guest.py
@@ -25,6 +25,7 @@
 log = logging.getLogger(__name__)
 
 POOLS_EVERY_S = 1.0
+TOLD_RANGES = 50  # of done tasks in each frame, while a job runs; all of them at its release
 TAG = "guest"
 OVER = (GuestStage.RELEASED, GuestStage.FINISHED)
 
@@ -254,7 +255,8 @@
         assert job.guest is not None
         stage = job.guest.stage
         running = sum(entry.stage != records.DEALT for entry in job.entries)
-        done = job.done if stage == GuestStage.RELEASED else []
+        whole = stage == GuestStage.RELEASED or len(job.done) <= TOLD_RANGES
+        done = job.done if whole else []
         return GuestState(handle_of(name, job), stage, running, done, job.attempt)
 
     def _unknown(self, cell: OtherCell, known: set[Handle]) -> list[GuestState]:
--- a/coursefold/cells/home.py
+++ b/coursefold/cells/home.py
@@ -22,11 +22,13 @@
 from coursefold.settings import CLOCK_DRIFT
 from coursefold.storage import records
 from coursefold.storage.cell_records import Away, AwayStage, CellLink, GuestStage
+from coursefold.storage.edits import LATER
 from coursefold.storage.records import JobRecord
 
 log = logging.getLogger(__name__)
 
 CHOOSE_EVERY_S = 1.0
+PROGRESS_EVERY_S = 0.5  # one job's, a change each
 OFFER_S = 6.0  # without an answer: the job comes back, for nothing was granted
 RENEW_AT = 0.7  # of its span: what is left of a grant when it is renewed
 GRANT_AT = 0.4  # and what must be left of one when a job is granted under it
@@ -52,6 +54,7 @@
         self.ctx, self.view = port.ctx, port.view
         self.seen: dict[str, SeenGrant] = {}
         self.chosen_at = Moment(-1e9)
+        self.progress_at = Moment(-1e9)
         self.counts: Counter[str] = Counter()
 
     def observe(self) -> None:
@@ -92,9 +95,21 @@
         elif told is not None and told.running and away.stage == AwayStage.GRANTED:
             change = edits.mark_running(away.cell, handle, self.ctx.wall)
             self.port.change_job(name, change, f"cell{away.epoch}")
+        elif told is not None and told.done and job.status == records.LIVE:
+            self._note_progress(name, job, away, told)
         elif away.stage == AwayStage.GRANTED and job.status == records.LIVE:
             self._withdraw_if_stuck(name, job, away, handle)
 
+    def _note_progress(self, name: JobId, job: JobRecord, away: Away, told: GuestState) -> None:
+        """Write what is done there, one job at a time, when nothing else waits to be written."""
+        if self.ctx.now - self.progress_at < PROGRESS_EVERY_S or not self.port.is_idle():
+            return
+        if edits.merged(job.done, told.done) == job.done:
+            return
+        self.progress_at = self.ctx.now
+        change = edits.note_progress(away.cell, told.handle, told.done)
+        self.port.change_job(name, change, f"cell{away.epoch}", LATER)
+
     @staticmethod
     def _why_back(away: Away) -> str:
         if away.stage == AwayStage.WITHDRAWN:
--- a/coursefold/cells/port.py
+++ b/coursefold/cells/port.py
@@ -89,6 +89,10 @@
             grows = any(place not in fleet.hires.refusals for place in places)
             yield pool_state(demand, MOST_GROWTH if grows else 0.0)
 
+    def is_idle(self) -> bool:
+        """Is there room to write what is never urgent?"""
+        return self.core.queue.idle(self.ctx.now)
+
     def is_unclear(self, name: JobId) -> bool:
         """Is there a record of the job that we can not read, or not yet?"""
         key = job_key(name)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -165,6 +165,19 @@
         assert set(world[name].guests().values()) <= {GuestStage.RELEASED}
 
 
+def test_guests_end_with_the_grant_also_without_a_state_service() -> None:
+    """Nobody can write anything then, and workers' leases are renewed for long after."""
+    world = overloaded(run_s=200.0)
+    fleet = reach(world, GuestStage.GRANTED)
+    world.run_until(lambda: guests_running(world) >= 4, 60.0)
+    for name in ("north", "west"):
+        world.cut_links("east", name, 1e9)
+        world[name].outage_until = world.now + 100.0
+    world.run(world.now + GRANT_S + TIMING["lease_s"] + 1.0)
+    assert guests_running(world) == 0
+    assert fleet.leader() is None  # nobody could decide
+
+
 @pytest.mark.parametrize("stage", [GuestStage.RESERVED, GuestStage.GRANTED, GuestStage.FINISHED])
 @pytest.mark.parametrize("side", ["home", "guest"])
 def test_a_leader_ends_at_each_step(stage: GuestStage, side: str) -> None:
--- a/tests/test_cells_input.py
+++ b/tests/test_cells_input.py
@@ -27,6 +27,7 @@
 from coursefold.cells.policy import Candidate, Target, choose, cost_s
 from coursefold.cells.waits import LEAST_SAMPLES, WaitLog, read_summary
 from coursefold.cli import main
+from coursefold.coordination import jobs
 from coursefold.coordination.grants import GrantClock
 from coursefold.protocol import cell_pb2
 from coursefold.protocol.ids import JobId, Moment, WallTime
@@ -350,12 +351,24 @@
     assert ended == Ending(records.DONE, 4)
 
 
-def test_a_cancelled_job_that_is_away_ends_only_on_proof() -> None:
-    from coursefold.coordination.jobs import cancel
+def test_progress_elsewhere_is_kept_when_its_cell_is_lost() -> None:
+    running = away_job(AwayStage.RUNNING)
+    noted = edits.note_progress("north", HANDLE, [(0, 1)])(running)
+    assert isinstance(noted, JobRecord)
+    assert noted.is_away
+    assert noted.counted_tasks == 2
+    back = edits.take_back("north", HANDLE, EPOCH, "lost")(noted)
+    assert isinstance(back, JobRecord)
+    assert back.waiting(9) == [2, 3]
+    for done in ([(0, 1)], [(3, 4)]):  # nothing new; no such task
+        with pytest.raises(NotApplicableError):
+            edits.note_progress("north", HANDLE, done)(noted)
+
 
-    offered = cancel()(away_job(AwayStage.OFFERED))
+def test_a_cancelled_job_that_is_away_ends_only_on_proof() -> None:
+    offered = jobs.cancel()(away_job(AwayStage.OFFERED))
     assert offered == Ending(records.CANCELLED, 4)  # nobody may have started it
-    granted = cancel()(away_job(AwayStage.GRANTED))
+    granted = jobs.cancel()(away_job(AwayStage.GRANTED))
     assert isinstance(granted, JobRecord)
     assert granted.status == records.CANCELLED
     ended = edits.take_back("north", HANDLE, EPOCH, "lost")(granted)
@@ -477,6 +490,119 @@
     assert cells.home.fill(frame(), cell).closed == (HANDLE,)
 
 
+# Guards of the guest cell, one by one
+
+
+def guest_world(stage: GuestStage, held_s: float) -> Cells:
+    """North leads with a guest of east; its grant ends in so many seconds."""
+    world = World()
+    cells = Cells(config(), world.core)
+    world.run(3.0)
+    ctx, view = world.enter().ctx, world.core.view
+    view.level = records.WITH_CELLS
+    view.keep("cf/c/east", CellLink(held_until=ctx.wall + held_s, held_s=held_s), 10**6)
+    view.keep(records.job_key(NAME), guest_job(stage), 10**6)
+    world.enter()
+    return cells
+
+
+def hears(cells: Cells, seq: int, **fields: Any) -> None:
+    """A frame of east, and what the leader makes of it."""
+    raw = dump_frame(frame(seq=seq, sent_at=cells.core.ctx.wall, **fields))
+    assert cells.directory.take(raw, "127.0.1.1") is not None
+    cells.guest.tick()
+
+
+def waits_for_writing(cells: Cells) -> set[str]:
+    keys = {key.removeprefix(records.ROOT) for key in cells.core.queue.waiting}
+    return keys & {"c/east", f"j/{NAME}"}
+
+
+def test_a_longer_grant_is_held_only_once_what_it_leaves_out_is_stopped() -> None:
+    """Else a cancellation that home leaves out would outlive what was planned for it."""
+    cells = guest_world(GuestStage.GRANTED, 5.0)
+    later = cells.core.ctx.wall + 12.0
+    hears(cells, 1, until=later)
+    assert waits_for_writing(cells) == {f"j/{NAME}"}
+    stopped = guest_job(GuestStage.RELEASED, status=records.CANCELLED)
+    cells.core.view.keep(records.job_key(NAME), stopped, 10**6 + 1)
+    hears(cells, 2, until=later)
+    assert "c/east" in waits_for_writing(cells)
+
+
+def test_a_reservation_that_is_not_listed_goes_before_a_longer_grant() -> None:
+    """A grant of it may still be under way, and must then find nothing."""
+    cells = guest_world(GuestStage.RESERVED, 5.0)
+    hears(cells, 1, until=cells.core.ctx.wall + 12.0)
+    assert waits_for_writing(cells) == {f"j/{NAME}"}
+
+
+def test_a_grant_is_accepted_only_once_its_end_is_recorded() -> None:
+    cells = guest_world(GuestStage.RESERVED, -1.0)
+    until = cells.core.ctx.wall + 12.0
+    hears(cells, 1, until=until, grants=(HANDLE,))
+    assert waits_for_writing(cells) == {"c/east"}
+    link = CellLink(held_until=until, held_s=12.0)
+    cells.core.view.keep("cf/c/east", link, 10**6 + 1)
+    cells.core.at(cells.core.ctx.now, cells.core.ctx.wall)
+    hears(cells, 2, until=until, grants=(HANDLE,))
+    assert f"j/{NAME}" in waits_for_writing(cells)
+
+
+@pytest.mark.parametrize(("held_s", "waits"), [(5.0, True), (-1.0, False)])
+def test_a_guest_is_dealt_only_under_a_grant(held_s: float, waits: bool) -> None:
+    cells = guest_world(GuestStage.GRANTED, held_s)
+    leader = cells.core.leader
+    names = [wait.name for wait in leader.queue(cells.port.quota())]
+    assert (NAME in names) is waits
+    assert ("grant has ended" in leader.reasons.get(NAME, "")) is not waits
+
+
+@pytest.mark.parametrize("patient_s", [0.0, 130.0])
+def test_guests_come_after_our_own_for_a_while(patient_s: float) -> None:
+    cells = guest_world(GuestStage.GRANTED, 50.0)
+    ctx, view = cells.core.ctx, cells.core.view
+    guest = Guest("east", 1, "9-1", GuestStage.GRANTED, ctx.wall - patient_s)
+    urgent = JobRecord(spec(Rank="urgent"), ctx.wall, guest=guest)
+    view.keep(records.job_key(NAME), urgent, 10**6 + 1)
+    own = JobId("job-2")
+    view.keep(records.job_key(own), JobRecord(spec(NameId=own), ctx.wall), 10**6 + 1)
+    order = [wait.name for wait in cells.core.leader.queue(cells.port.quota())]
+    assert order == ([own, NAME] if patient_s == 0.0 else [NAME, own])
+
+
+def test_a_gang_that_is_a_guest_is_finished_and_not_ended() -> None:
+    """Its end is its home's to write: an ending here would be forgotten there."""
+    entries = [Entry(n, records.PLACED, 3, "n0", "a", f"i-{n}", 1) for n in range(4)]
+    gang = guest_job(GuestStage.GRANTED, entries=entries)
+    gang = msgspec.structs.replace(gang, spec=spec(Pieces=4, Shape="ensemble"))
+    done = jobs.finish(0, "i-0", 3)(gang)
+    assert isinstance(done, JobRecord)
+    assert done.guest is not None
+    assert done.guest.stage == GuestStage.FINISHED
+    assert not done.entries
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        away_job(AwayStage.OFFERED),
+        away_job(AwayStage.RUNNING),
+        guest_job(GuestStage.RESERVED),
+        guest_job(GuestStage.RELEASED),
+    ],
+)
+def test_nothing_of_a_job_is_placed_where_it_may_not_start(record: JobRecord) -> None:
+    """Whatever a leader believes: the record decides."""
+    for change in (
+        jobs.deal([jobs.Dealt(0, "n0", "a", "i-1")]),
+        jobs.place("n0", [jobs.Task(0, 0, "a", "i-1", 1)]),
+        jobs.place_gang([("n0", "a", "i-1", 1)] * 4),
+    ):
+        with pytest.raises(NotApplicableError):
+            change(record)
+
+
 # Records
 
 
