Cells: room is not held for a vanished home; one log line a minute for one fault

Causes, found by reading: a reservation whose home vanished held its room for good; guests that only wait for their home's word counted against the limit of guests; a wrong frame was logged twice a second; a job that ended within a second of being seen could fail a round. Change: a reservation goes after 30 s without a word from its home, by which nothing can have started; the rest as named. What waits is looked at once a second for both sides. Tests: a vanished home, a pipeline whose jobs run in another cell, real sockets from foreign networks and frames too long.

--- a/coursefold/cells/directory.py
+++ b/coursefold/cells/directory.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import re
 
 from coursefold.cells.config import CellsConfig
 from coursefold.cells.messages import BadFrameError, Frame, PoolState, read_frame
@@ -13,8 +14,11 @@
 
 log = logging.getLogger(__name__)
 
+_NUMBERS = re.compile(r"[0-9.]+")
 LATE_S = 3.0  # beyond the clocks' bounds: held back on its way
 REACHABLE_S = 3.0
+COMPLAIN_EVERY_S = 60.0
+MOST_COMPLAINTS = 100
 LEADER_S = 2.0  # of silence: then any of its controllers may lead
 
 
@@ -26,7 +30,6 @@
         self.frame: Frame | None = None
         self.heard_at = Moment(-1e9)
         self.pools: list[PoolState] = []  # less what was offered since
-        self.why_dropped = ""
 
     def is_newer(self, frame: Frame) -> bool:
         """Was this frame sent after the one that we have?"""
@@ -40,6 +43,7 @@
     def __init__(self, config: CellsConfig, ctx: Context) -> None:
         self.config, self.ctx = config, ctx
         self.cells = {entry.name: OtherCell(entry.name) for entry in config.others}
+        self.complained: dict[tuple[str, str], Moment] = {}
 
     def take(self, raw: bytes, address: str) -> OtherCell | None:
         """Note a frame; the cell that it is of, or None if it changes nothing."""
@@ -47,7 +51,7 @@
             frame = read_frame(raw)
             cell = self._sender(frame, address)
         except BadFrameError as wrong:
-            log.error("cell frame from %s dropped: %s", address, wrong)
+            self._complain(address, str(wrong))
             return None
         if not cell.is_newer(frame):
             log.debug("cell frame %d of %s comes late", frame.seq, frame.cell)
@@ -56,6 +60,17 @@
         cell.pools = list(frame.pools)
         return cell
 
+    def _complain(self, address: str, why: str) -> None:
+        """One log line a minute for the same fault: frames come twice a second."""
+        fault = (address, _NUMBERS.sub("", why))
+        last = self.complained.get(fault)
+        if last is not None and self.ctx.now - last < COMPLAIN_EVERY_S:
+            return
+        if len(self.complained) >= MOST_COMPLAINTS:
+            self.complained.clear()
+        self.complained[fault] = self.ctx.now
+        log.error("cell frame from %s dropped: %s", address, why)
+
     def _sender(self, frame: Frame, address: str) -> OtherCell:
         cell = self.cells.get(frame.cell)
         if cell is None:
--- a/coursefold/cells/guest.py
+++ b/coursefold/cells/guest.py
@@ -18,7 +18,7 @@
 from coursefold.coordination.demand import slots, weight
 from coursefold.protocol.ids import JobId, Moment
 from coursefold.storage import records
-from coursefold.storage.cell_records import CellLink, GuestStage
+from coursefold.storage.cell_records import CellLink, Guest, GuestStage
 from coursefold.storage.edits import Edit
 from coursefold.storage.records import JobRecord, job_key
 
@@ -26,6 +26,7 @@
 
 POOLS_EVERY_S = 1.0
 TOLD_RANGES = 50  # of done tasks in each frame, while a job runs; all of them at its release
+RESERVED_S = 30.0  # without a word from its home
 TAG = "guest"
 OVER = (GuestStage.RELEASED, GuestStage.FINISHED)
 
@@ -74,12 +75,20 @@
                 self._revoke(guest.home, handle, "its cell is in our file no more")
         elif guest.stage == GuestStage.GRANTED and job.status == records.LIVE:
             self._revoke_if_lapsed(guest.home, handle)
+        elif guest.stage == GuestStage.RESERVED:
+            self._forget_if_unheard(guest, handle)
 
     def _revoke_if_lapsed(self, home: str, handle: Handle) -> None:
         if self.ctx.grants.lapsed(home, self.ctx.now, self.ctx.wall):
             self.counts["lapsed"] += 1
             self._revoke(home, handle, "the grant has ended")
 
+    def _forget_if_unheard(self, guest: Guest, handle: Handle) -> None:
+        """Room is not held for a cell that may be gone; a grant that comes later finds nothing."""
+        waited_s = self.ctx.wall - guest.at
+        if waited_s > RESERVED_S and not self.directory.is_reachable(guest.home):
+            self._forget(guest.home, handle, f"its home was not heard for {waited_s:.0f} s")
+
     def _act(self, home: str, frame: Frame) -> None:
         """Bring the guests of one home to what its newest frame says."""
         offered = {offer.handle[:2] for offer in frame.offers}
@@ -157,14 +166,14 @@
         job = self.view.guests.get(handle.job)
         if job is not None and job.guest is not None and job.guest.home == home:
             return True
-        return self.port.is_busy(handle.job)
+        return self.port.is_writing(handle.job)
 
     def _why_not(self, home: str, offer: Offer, pools: Pools) -> str:
         """Why the job is not taken; empty if it is, and then its room counts as taken."""
         limits = self.config.guests
         if self.config.spill.draining:
             return "the cell takes no guests now"
-        if len(self.view.guests) >= limits.jobs:
+        if self._live_guests() >= limits.jobs:
             return f"{limits.jobs} guests are here already"
         if offer.handle.job in self.view.jobs:
             return "the id is taken here"
@@ -180,6 +189,11 @@
         pools.take(found.pool, offer.spec, tasks)
         return ""
 
+    def _live_guests(self) -> int:
+        """Guests that take room, or may yet."""
+        stages = (job.guest.stage for job in self.view.guests.values() if job.guest)
+        return sum(stage not in OVER for stage in stages)
+
     def _refuse(self, home: str, handle: Handle, why: str) -> None:
         self.counts["refused"] += 1
         self.refusals.setdefault(home, {})[handle] = why
@@ -215,8 +229,9 @@
         if self.ctx.now - self.pools_at < POOLS_EVERY_S:
             return
         self.pools_at = self.ctx.now
-        pools = self.port.queue().pools
-        shares = [self.config.guests.share * size for size in self.port.pool_sizes()]
+        queue = self.port.queue()
+        pools = queue.pools
+        shares = [self.config.guests.share * size for size in queue.sizes]
         for job in self.view.guests.values():
             left = job.spec.tasks - job.done_count
             found = pools.best(job.spec, left)
--- a/coursefold/cells/home.py
+++ b/coursefold/cells/home.py
@@ -281,10 +281,11 @@
     def _candidates(self, waiting: list[WaitingJob], pools: Pools) -> list[Candidate]:
         """Jobs that may go: whole, none of their tasks placed, within their team's limit."""
         quota = self.port.quota()
+        placed = self.port.about_to_be_placed()
         found: list[Candidate] = []
         for wait in waiting:
             spec = wait.job.spec
-            if not self._may_go(wait) or not quota.fits(spec, wait.tasks):
+            if wait.name in placed or not self._may_go(wait) or not quota.fits(spec, wait.tasks):
                 continue
             quota.take(spec, wait.tasks)
             best = pools.best(spec, 1)
@@ -303,7 +304,7 @@
             return False
         if wait.age < self.config.spill.after_s or len(job.done) > DONE_RANGES:
             return False
-        return not self.port.is_busy(wait.name)
+        return wait.name in self.view.waiting and not self.port.is_writing(wait.name)
 
     def _avoid(self, job: JobRecord) -> str:
         """The cell that the job came back from a moment ago."""
--- a/coursefold/cells/port.py
+++ b/coursefold/cells/port.py
@@ -8,12 +8,13 @@
 from coursefold.coordination.core import Core
 from coursefold.coordination.placement import Place
 from coursefold.coordination.quota import Quota, limit_fits
-from coursefold.protocol.ids import JobId
+from coursefold.protocol.ids import JobId, Moment
 from coursefold.protocol.wire import Job
 from coursefold.storage import records
 from coursefold.storage.edits import SOON, Change, Edit
 from coursefold.storage.records import JobRecord, cell_link_key, job_key
 
+QUEUE_EVERY_S = 0.9
 MOST_GROWTH = 1e6  # slots: our own loop rents what our queue needs
 
 
@@ -32,6 +33,7 @@
 
     waiting: list[WaitingJob]
     pools: Pools
+    sizes: list[float]  # slots of each pool
 
 
 class CorePort:
@@ -41,6 +43,8 @@
         self.core = core
         self.ctx = core.ctx
         self.view = core.view
+        self.queue_at = Moment(-1e9)
+        self.last_queue = Queue([], Pools([]), [])
 
     def leads(self) -> bool:
         """May this controller decide for its cell, in the forms that cells need?"""
@@ -68,6 +72,13 @@
         return self.ctx.policy.parameters.eta
 
     def queue(self) -> Queue:
+        """What waits and the pools, looked at once a second for both sides."""
+        if self.ctx.now - self.queue_at >= QUEUE_EVERY_S:
+            self.queue_at, self.last_queue = self.ctx.now, self._look()
+        waiting, pools, sizes = self.last_queue
+        return Queue(waiting, Pools(pools.states), sizes)
+
+    def _look(self) -> Queue:
         """Spread what waits over the pools in queue order: each job behind those before it."""
         pools = Pools(self._pool_states())
         waiting: list[WaitingJob] = []
@@ -78,7 +89,8 @@
                 continue
             pools.take(expected.pool, wait.job.spec, tasks)
             waiting.append(WaitingJob(wait.name, wait.job, tasks, wait.age, expected.wait))
-        return Queue(waiting, pools)
+        demands = self.core.fleet.pools.demands.values()
+        return Queue(waiting, pools, [float(d.machines * d.k) for d in demands])
 
     def _pool_states(self) -> Iterable[PoolState]:
         fleet = self.core.fleet
@@ -98,15 +110,13 @@
         key = job_key(name)
         return key in self.view.unreadable or self.view.incomplete(key)
 
-    def pool_sizes(self) -> list[float]:
-        """Slots of each pool, in the order in which `queue` has them."""
-        return [float(d.machines * d.k) for d in self.core.fleet.pools.demands.values()]
+    def is_writing(self, name: JobId) -> bool:
+        """Is a change of the job's record under way?"""
+        return self.core.queue.busy(job_key(name))
 
-    def is_busy(self, name: JobId) -> bool:
-        """Is a change of the job's record under way, or one of its tasks about to be placed?"""
-        if self.core.queue.busy(job_key(name)):
-            return True
-        return any(job == name for job, _ in self.ctx.pending)
+    def about_to_be_placed(self) -> set[str]:
+        """Jobs of which tasks get a place just now."""
+        return {name for name, _ in self.ctx.pending}
 
     def change_job(self, name: JobId, change: Change, tag: str, rank: int = SOON) -> bool:
         """Have a job's record changed; False while the same change is under way."""
--- a/coursefold/cells/waits.py
+++ b/coursefold/cells/waits.py
@@ -72,8 +72,8 @@
 
     def expect(self, name: JobId, wall: float, seconds: float) -> None:
         """Note the model's first word on a waiting job of which nothing has started."""
-        job = self.view.jobs[name]
-        if name not in self.expected and not _has_started(job):
+        job = self.view.jobs.get(name)
+        if job is not None and name not in self.expected and not _has_started(job):
             self.expected[name] = Expected(self.view.since(name, job), wall, seconds)
 
     def look(self, now: Moment, wall: float) -> None:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -357,6 +357,28 @@
     all_end(world)
 
 
+def test_a_reservation_is_not_kept_for_a_home_cell_that_vanished() -> None:
+    world = overloaded()
+    fleet = reach(world, GuestStage.RESERVED)
+    names = {name for name, at in fleet.guests().items() if at == GuestStage.RESERVED}
+    world["east"].vanish()
+    world.run(world.now + 40.0)
+    assert names
+    assert not names & set(fleet.guests())
+
+
+def test_what_needs_a_job_starts_once_that_is_done_in_another_cell() -> None:
+    """The world checks at each start that all that a job needs is done."""
+    world = overloaded()
+    reach(world, GuestStage.GRANTED)
+    needs = sorted(world["east"].stages_away())[:3]
+    world["east"].submit("job-900", 5.0, Prereqs=needs)
+    world.run(world.now + 3.0)
+    assert not any(world.jobs[name].over() for name in needs)
+    all_end(world)
+    assert world.jobs["job-900"].told == "done"
+
+
 def test_a_draining_cell_takes_no_guests_and_offers_nothing() -> None:
     world = overloaded(spill={"draining": True})
     world.run(world.now + 60.0)
--- a/tests/test_cells_input.py
+++ b/tests/test_cells_input.py
@@ -1,6 +1,8 @@
 """Cells: bad files, bad frames, and the decisions one by one."""
 
+import asyncio
 import math
+import struct
 from pathlib import Path
 from typing import Any
 
@@ -32,7 +34,7 @@
 from coursefold.protocol import cell_pb2
 from coursefold.protocol.ids import JobId, Moment, WallTime
 from coursefold.protocol.wire import Catalog, Job, decode, encode
-from coursefold.settings import Settings, SettingsError, load
+from coursefold.settings import Settings, SettingsError, load, split_address
 from coursefold.storage import records
 from coursefold.storage.cell_records import (
     Away,
@@ -44,7 +46,9 @@
 from coursefold.storage.edits import NotApplicableError, Remove
 from coursefold.storage.records import Ending, Entry, JobRecord
 from coursefold.storage.view import View
+from coursefold.transport.cells import CellTransport
 from tests.cells_world import cells_file
+from tests.test_loopback import free_ports
 from tests.test_settings import GOOD
 from tests.world import CATALOG, EPOCH, JOB, SETTINGS, World
 
@@ -277,6 +281,47 @@
     assert all(found.speaks_to("east", member) for member in ("n0", "n1", "n2"))
 
 
+async def send_from(source: str, address: str, raw: bytes) -> bool:
+    """Send bytes from an address; True if the listener then ends the connection."""
+    host, port = split_address(address)
+    reader, writer = await asyncio.open_connection(host, port, local_addr=(source, 0))
+    try:
+        writer.write(raw)
+        await writer.drain()
+        return await asyncio.wait_for(reader.read(1), 1.0) == b""
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+    finally:
+        writer.close()
+
+
+def test_connections_from_other_networks_and_oversized_frames_are_ended() -> None:
+    async def play() -> None:
+        taken: list[tuple[bytes, str]] = []
+
+        def take(raw: bytes, address: str) -> bool:
+            taken.append((raw, address))
+            return True
+
+        here = config()
+        here.listen = f"127.0.2.1:{free_ports(1)[0]}"
+        transport = CellTransport(here, Cells(here, World().core), take)
+        whole = struct.pack(">I", 3) + b"abc"
+        try:
+            assert await send_from("127.0.9.9", here.listen, whole)
+            assert await send_from("127.0.2.1", here.listen, whole)  # our own cell's
+            assert not taken
+            assert not await send_from("127.0.1.7", here.listen, whole)
+            assert taken == [(b"abc", "127.0.1.7")]
+            assert await send_from("127.0.1.7", here.listen, struct.pack(">I", 1 << 24))
+        finally:
+            transport.server.stop()
+
+    asyncio.run(asyncio.wait_for(play(), 20.0))
+
+
 # Edits
 
 
