--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -417,7 +417,7 @@
             else:
                 deals.append(jobs.Dealt(number, room.owner, room.zone, room.id))
         if places:
-            self.owner.propose_place(name, job, places)
+            self.owner.placing.propose_place(name, job, places)
         if deals:
             self._deal(name, job, deals)
 
