--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -436,6 +436,10 @@
 
     def _check_place(self, worker: Worker, task: Task) -> None:
         job, body = task.job, task.job.body
+        for other, there in list(self.on.values()):
+            if there.job is job:
+                # A machine that hangs past its lease has lost its tasks, as for `_check_alone`.
+                other._lease()
         others = [w.zone for w, t in self.on.values() if t.job is job and t is not task]
         if worker.spot and not body["Loaners"]:
             raise RuleBrokenError(f"{task.name} on a spot machine")
