Missing answers do not count as conflicts; cells' decisions in one log

Cause: an edit was given up after eight tries and one more, of whatever kind: eight answers that did not come and one conflict sufficed, although all of it was a short outage. Change: conflicts are counted apart; missing answers and refusals have the limit that they had.

--- a/coursefold/cells/cells.py
+++ b/coursefold/cells/cells.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from coursefold.cells.config import CellsConfig
+from coursefold.cells.decisions import DecisionLog
 from coursefold.cells.directory import Directory, OtherCell
 from coursefold.cells.guest import GuestSide
 from coursefold.cells.home import HomeSide
@@ -17,6 +18,8 @@
 log = logging.getLogger(__name__)
 
 WAITS_EVERY_S = 10.0
+MOVED_SHOWN = 50  # jobs, and
+DECISIONS_SHOWN = 20  # decisions in a controller's condition
 
 
 class Cells:
@@ -27,8 +30,9 @@
         self.port = CorePort(core)
         self.directory = Directory(config, core.ctx)
         self.waits = WaitLog(core.view)
-        self.home = HomeSide(config, self.port, self.directory, self.waits)
-        self.guest = GuestSide(config, self.port, self.directory)
+        self.decisions = DecisionLog(lambda: core.ctx.wall)
+        self.home = HomeSide(config, self.port, self.directory, self.waits, self.decisions)
+        self.guest = GuestSide(config, self.port, self.directory, self.decisions)
         self.seq = 0
         self.led_token = 0
         self.lapsed: dict[str, bool] = {}
@@ -115,9 +119,28 @@
                 "home": dict(self.home.counts),
                 "guest": dict(self.guest.counts),
                 "waits": waits._asdict(),
+                "moved": self._moved(),
+                "decisions": self.decisions.shown(DECISIONS_SHOWN),
             }
         }
 
+    def _moved(self) -> list[dict[str, Any]]:
+        """Our jobs in other cells and theirs here, those that moved last first."""
+        wall, view = self.core.ctx.wall, self.core.view
+        found: list[tuple[float, str, str, str]] = []
+        for name, job in view.away.items():
+            if job.away:
+                where = f"in cell {job.away.cell}"
+                found.append((job.away.at, name, where, job.away.stage.name.lower()))
+        for name, job in view.guests.items():
+            if job.guest:
+                whose = f"here for cell {job.guest.home}"
+                found.append((job.guest.at, name, whose, job.guest.stage.name.lower()))
+        return [
+            {"job": name, "where": where, "stage": stage, "for_s": round(max(0.0, wall - at), 1)}
+            for at, name, where, stage in sorted(found, reverse=True)[:MOVED_SHOWN]
+        ]
+
     def _describe(self, cell: OtherCell) -> dict[str, Any]:
         ctx, view = self.core.ctx, self.core.view
         away = [job.away for job in view.away.values() if job.away and job.away.cell == cell.name]
--- a/coursefold/cells/guest.py
+++ b/coursefold/cells/guest.py
@@ -6,11 +6,11 @@
 home leaves out of a frame is known here before any grant is longer for it.
 """
 
-import logging
 from collections import Counter
 
 from coursefold.cells import edits
 from coursefold.cells.config import CellsConfig
+from coursefold.cells.decisions import DecisionLog, Step
 from coursefold.cells.directory import Directory, OtherCell
 from coursefold.cells.estimate import Pools
 from coursefold.cells.messages import Frame, GuestState, Handle, Offer, PoolState, Refusal
@@ -22,8 +22,6 @@
 from coursefold.storage.edits import Edit
 from coursefold.storage.records import JobRecord, job_key
 
-log = logging.getLogger(__name__)
-
 POOLS_EVERY_S = 1.0
 TOLD_RANGES = 50  # of done tasks in each frame, while a job runs; all of them at its release
 RESERVED_S = 30.0  # without a word from its home
@@ -40,8 +38,11 @@
 class GuestSide:
     """Other cells' jobs here."""
 
-    def __init__(self, config: CellsConfig, port: CorePort, directory: Directory) -> None:
+    def __init__(
+        self, config: CellsConfig, port: CorePort, directory: Directory, decisions: DecisionLog
+    ) -> None:
         self.config, self.port, self.directory = config, port, directory
+        self.decisions = decisions
         self.ctx, self.view = port.ctx, port.view
         self.reservations = 0  # under this token; part of their names
         self.refusals: dict[str, dict[Handle, str]] = {}
@@ -129,15 +130,15 @@
         change = edits.accept_grant(home, handle, self.ctx.wall)
         if self.port.change_job(handle.job, change, TAG):
             self.counts["granted"] += 1
-            log.info("%s of %s may run: reservation %s", handle.job, home, handle.reservation)
+            self.decisions.note(Step.RUN, home, handle)
 
     def _revoke(self, home: str, handle: Handle, why: str) -> None:
         if self.port.change_job(handle.job, edits.revoke(home, handle), TAG):
-            log.info("stop %s of %s: reservation %s, %s", handle.job, home, handle.reservation, why)
+            self.decisions.note(Step.STOP, home, handle, why)
 
     def _forget(self, home: str, handle: Handle, why: str) -> None:
         if self.port.change_job(handle.job, edits.forget(home, handle), TAG):
-            log.info("drop %s of %s: reservation %s, %s", handle.job, home, handle.reservation, why)
+            self.decisions.note(Step.DROP, home, handle, why)
 
     # Offers
 
@@ -197,7 +198,7 @@
     def _refuse(self, home: str, handle: Handle, why: str) -> None:
         self.counts["refused"] += 1
         self.refusals.setdefault(home, {})[handle] = why
-        log.info("refuse %s of %s: epoch %d, %s", handle.job, home, handle.epoch, why)
+        self.decisions.note(Step.REFUSE, home, handle, why)
 
     def _reserve(self, home: str, offer: Offer) -> None:
         self.reservations += 1
@@ -207,13 +208,7 @@
         def settled(ok: bool, why: str) -> None:
             if ok:
                 self.counts["reserved"] += 1
-                log.info(
-                    "reserve %s of %s: epoch %d, room %s",
-                    handle.job,
-                    home,
-                    handle.epoch,
-                    reservation,
-                )
+                self.decisions.note(Step.RESERVE, home, handle._replace(reservation=reservation))
             else:
                 self._refuse(home, handle, why)
 
--- a/coursefold/cells/home.py
+++ b/coursefold/cells/home.py
@@ -6,12 +6,12 @@
 can have been told, and of what its tasks may go on for after that.
 """
 
-import logging
 from collections import Counter
 from typing import NamedTuple
 
 from coursefold.cells import edits
 from coursefold.cells.config import SKEW_CLOCKS, CellsConfig, longest_grant
+from coursefold.cells.decisions import DecisionLog, Step
 from coursefold.cells.directory import Directory, OtherCell
 from coursefold.cells.estimate import Pools
 from coursefold.cells.messages import Frame, GuestState, Handle, Offer
@@ -25,8 +25,6 @@
 from coursefold.storage.edits import LATER
 from coursefold.storage.records import JobRecord
 
-log = logging.getLogger(__name__)
-
 CHOOSE_EVERY_S = 1.0
 PROGRESS_EVERY_S = 0.5  # one job's, a change each
 OFFER_S = 6.0  # without an answer: the job comes back, for nothing was granted
@@ -48,9 +46,15 @@
     """Our jobs in other cells."""
 
     def __init__(
-        self, config: CellsConfig, port: CorePort, directory: Directory, waits: WaitLog
+        self,
+        config: CellsConfig,
+        port: CorePort,
+        directory: Directory,
+        waits: WaitLog,
+        decisions: DecisionLog,
     ) -> None:
-        self.config, self.port, self.directory, self.waits = config, port, directory, waits
+        self.config, self.port, self.directory = config, port, directory
+        self.waits, self.decisions = waits, decisions
         self.ctx, self.view = port.ctx, port.view
         self.seen: dict[str, SeenGrant] = {}
         self.chosen_at = Moment(-1e9)
@@ -86,7 +90,7 @@
         if told is not None and told.stage == GuestStage.FINISHED:
             if self.port.change_job(name, edits.finish(away.cell, handle), f"cell{away.epoch}"):
                 self.counts["finished"] += 1
-                log.info("%s finished in %s: epoch %d", name, away.cell, away.epoch)
+                self.decisions.note(Step.FINISH, away.cell, handle)
         elif told is not None and told.stage == GuestStage.RELEASED:
             self._take_back(name, away, handle, self._why_back(away), told)
         elif self._is_proven_gone(away.cell):
@@ -150,10 +154,7 @@
         change = edits.grant(cell.name, handle, self.ctx.wall)
         if self.port.change_job(name, change, f"cell{handle.epoch}"):
             self.counts["granted"] += 1
-            log.info(
-                "grant %s to %s: epoch %d, reservation %s",
-                name, cell.name, handle.epoch, handle.reservation,
-            )  # fmt: skip
+            self.decisions.note(Step.GRANT, cell.name, handle)
 
     def _take_back(
         self, name: JobId, away: Away, handle: Handle, why: str, told: GuestState | None = None
@@ -161,7 +162,7 @@
         change = edits.take_back(away.cell, handle, self.ctx.wall, why, told)
         if self.port.change_job(name, change, f"cell{away.epoch}"):
             self.counts["returned"] += 1
-            log.info("take %s back from %s: epoch %d, %s", name, away.cell, away.epoch, why)
+            self.decisions.note(Step.TAKE_BACK, away.cell, handle, why)
 
     def _withdraw_if_stuck(self, name: JobId, job: JobRecord, away: Away, handle: Handle) -> None:
         """Room that was promised has not come to be: the job may do better at home."""
@@ -175,7 +176,7 @@
             return
         change = edits.withdraw(away.cell, handle, self.ctx.wall, why)
         if self.port.change_job(name, change, f"cell{away.epoch}"):
-            log.info("withdraw %s from %s: epoch %d, %s", name, away.cell, away.epoch, why)
+            self.decisions.note(Step.WITHDRAW, away.cell, handle, why)
 
     def _expected_there(self, job: JobRecord, away: Away) -> float:
         """The wait that the guest cell's pools tell for a job that is in their queue."""
@@ -324,10 +325,9 @@
         change = edits.offer(away, self.view.since(choice.name, job))
         if self.port.change_job(choice.name, change, f"cell{epoch}"):
             self.counts["offered"] += 1
-            log.info(
-                "offer %s to %s: epoch %d, expected wait here %.0f s, there %.0f s: %s",
-                choice.name, choice.cell, epoch, choice.here_s, choice.there_s, choice.why,
-            )  # fmt: skip
+            waits = f"expected wait here {choice.here_s:.0f} s, there {choice.there_s:.0f} s"
+            handle = Handle(choice.name, epoch)
+            self.decisions.note(Step.OFFER, choice.cell, handle, f"{choice.why} ({waits})")
 
     # Frames
 
--- a/coursefold/cli.py
+++ b/coursefold/cli.py
@@ -3,6 +3,7 @@
 import logging
 import os
 import sys
+from datetime import datetime
 from pathlib import Path
 from typing import Any, NoReturn, TextIO
 
@@ -169,7 +170,9 @@
 
 @main.command()
 @node_option
-def cells(node: str) -> None:
+@click.option("--jobs", is_flag=True, help="List the jobs that are away, and the guests.")
+@click.option("--decisions", is_flag=True, help="List the leader's last decisions.")
+def cells(node: str, jobs: bool, decisions: bool) -> None:
     """Show the other cells: reachability, jobs away and guests here, waits. Ask the leader."""
     answer = _condition(node)
     found = answer.get("cells")
@@ -181,6 +184,15 @@
     if not found["on"]:
         click.echo(f"  not in charge: ask the leader, {answer.get('leader') or 'unknown'}")
         return
+    _show_cells(found)
+    for job in found["moved"] if jobs else ():
+        click.echo(f"  {job['job']}: {job['where']}, {job['stage']} for {job['for_s']:g} s")
+    for decision in found["decisions"] if decisions else ():
+        at = datetime.fromtimestamp(decision["at"]).strftime("%H:%M:%S")
+        click.echo(f"  {at} {decision['line']}")
+
+
+def _show_cells(found: dict[str, Any]) -> None:
     for other in found["others"]:
         state = "reachable" if other["reachable"] else "not reachable"
         heard = "never heard" if other["heard_s"] is None else f"heard {other['heard_s']:g} s ago"
--- a/coursefold/storage/edits.py
+++ b/coursefold/storage/edits.py
@@ -34,7 +34,7 @@
 class Edit:
     """One change of one key. `fenced` edits hold only under the roster they were made for."""
 
-    __slots__ = ("change", "done", "fence", "key", "permit", "rank", "tag", "tries")
+    __slots__ = ("change", "conflicts", "done", "fence", "key", "permit", "rank", "tag", "tries")
 
     def __init__(
         self,
@@ -55,6 +55,7 @@
         self.permit = permit
         self.tag = tag
         self.tries = 0
+        self.conflicts = 0
 
     def settle(self, ok: bool, why: str = "") -> None:
         """Tell the proposer what became of the edit."""
--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -29,6 +29,9 @@
 
 log = logging.getLogger(__name__)
 
+MOST_CONFLICTS = 8  # of one edit; then its proposer looks at the record anew
+MOST_TRIES = 1000  # refusals and missing answers included: minutes of an outage
+
 
 class CommitQueue:
     """Edits waiting and under way."""
@@ -282,18 +285,20 @@
     def conflicted(self, batch: Batch, failed: list[str]) -> None:
         """Nothing was carried out: read the failed keys again, then try the edits again."""
         self.stale.update(k.replace(records.ENDINGS, records.JOBS, 1) for k in failed)
-        self._again(batch, most=8)
+        for edit in batch.edits:
+            edit.conflicts += 1
+        self._again(batch)
 
     def refused(self, batch: Batch, now: Moment, pause: float) -> None:
         """Nothing was carried out (429, 503): the same again after a pause."""
         self.pause_until = Moment(now + pause)
-        self._again(batch, most=1000)
+        self._again(batch)
 
     def unknown(self, batch: Batch, now: Moment, pause: float) -> None:
         """No answer: it may have been carried out, or may yet be; read again first."""
         self.stale.update(batch.results)
         self.pause_until = Moment(now + pause)
-        self._again(batch, most=1000)
+        self._again(batch)
 
     def slower(self) -> None:
         """Over the rate (429): after the switch the lower one may have come.
@@ -319,7 +324,7 @@
             if edit.permit is not None:
                 self._settle(edit, False, "refused")
         rest = [edit for edit in batch.edits if edit.permit is None]
-        self._again(batch._replace(edits=rest), most=1000)
+        self._again(batch._replace(edits=rest))
 
     def invalid(self, batch: Batch) -> None:
         """Refused as malformed: nothing was carried out, and the same would fare no better.
@@ -330,7 +335,7 @@
         if self.later is not None and self._beyond(batch, self.later):
             self._lower(sizes=True, rate=True)
             if batch.limits != self.limits:
-                self._again(batch, most=1000)
+                self._again(batch)
                 return
         for key in batch.results:
             self.flying.discard(key)
@@ -338,12 +343,13 @@
         for edit in batch.edits:
             self._settle(edit, False, "refused")
 
-    def _again(self, batch: Batch, most: int) -> None:
+    def _again(self, batch: Batch) -> None:
+        """Try edits again, but for those that met too many conflicts, or that nothing helps."""
         for key in batch.results:
             self.flying.discard(key)
         for edit in reversed(batch.edits):
             edit.tries += 1
-            if edit.tries > most:
+            if edit.conflicts > MOST_CONFLICTS or edit.tries > MOST_TRIES:
                 self._settle(edit, False, "conflicts")
             else:
                 self.waiting.setdefault(edit.key, []).insert(0, edit)
--- a/tests/test_cells_input.py
+++ b/tests/test_cells_input.py
@@ -535,6 +535,23 @@
     assert cells.home.fill(frame(), cell).closed == (HANDLE,)
 
 
+@pytest.mark.parametrize(("held_s", "renewed"), [(5.0, True), (4.0, False)])
+def test_a_grant_is_renewed_only_for_a_cell_that_acknowledged_it(
+    held_s: float, renewed: bool
+) -> None:
+    """A cell that is heard and does not hear would else keep our jobs for ever."""
+    cells = guest_world(GuestStage.GRANTED, 50.0)
+    ctx, view = cells.core.ctx, cells.core.view
+    away = Away("east", 1, AwayStage.GRANTED, ctx.wall, "7-1")
+    view.keep(records.job_key(JobId("job-2")), JobRecord(spec(), ctx.wall, away=away), 10**6)
+    view.keep("cf/c/east", CellLink(ctx.wall + 5.0, 12.0, 10.0), 10**6 + 1)
+    raw = dump_frame(frame(sent_at=ctx.wall, held_until=ctx.wall + held_s))
+    cell = cells.directory.take(raw, "127.0.1.1")
+    assert cell is not None
+    cells.home._renew(cell)
+    assert ("c/east" in waits_for_writing(cells)) is renewed
+
+
 # Guards of the guest cell, one by one
 
 
