--- /dev/null
+++ b/coursefold/cells/cells.py
@@ -0,0 +1,137 @@
+"""A controller's part in the traffic between cells: rounds, frames in and out, its condition."""
+
+import logging
+from typing import Any
+
+from coursefold.cells.config import CellsConfig
+from coursefold.cells.directory import Directory, OtherCell
+from coursefold.cells.guest import GuestSide
+from coursefold.cells.home import HomeSide
+from coursefold.cells.messages import Frame, dump_frame
+from coursefold.cells.port import CorePort
+from coursefold.cells.waits import WaitLog, read_summary, summarize
+from coursefold.coordination.core import Core
+from coursefold.protocol.ids import Moment
+from coursefold.storage.cell_records import AwayStage
+
+log = logging.getLogger(__name__)
+
+WAITS_EVERY_S = 10.0
+
+
+class Cells:
+    """Attached to a controller's core; without I/O, clock or randomness, as that is."""
+
+    def __init__(self, config: CellsConfig, core: Core) -> None:
+        self.config, self.core = config, core
+        self.port = CorePort(core)
+        self.directory = Directory(config, core.ctx)
+        self.waits = WaitLog(core.view)
+        self.home = HomeSide(config, self.port, self.directory, self.waits)
+        self.guest = GuestSide(config, self.port, self.directory)
+        self.seq = 0
+        self.led_token = 0
+        self.lapsed: dict[str, bool] = {}
+        self.waits_at = Moment(-1e9)
+        self.encoded_waits = b""
+        core.upgrade.with_cells = True
+        core.extensions.append(self)
+
+    def tick(self) -> None:
+        """One round of the core."""
+        self.home.observe()
+        self._stop_lapsed()
+        if not self.port.leads():
+            self.led_token = 0
+            return
+        if self.led_token != self.core.view.token:
+            self.led_token = self.core.view.token
+            self._forget_frames()
+        self.home.tick()
+        self.guest.tick()
+        ctx = self.core.ctx
+        self.waits.look(ctx.now, ctx.wall)
+        if ctx.now - self.waits_at > WAITS_EVERY_S:
+            self.waits_at = ctx.now
+            self.encoded_waits = self.waits.encoded()
+
+    def _forget_frames(self) -> None:
+        """Frames from before we led may be older than what a former leader acted on."""
+        for cell in self.directory.cells.values():
+            cell.frame, cell.pools = None, []
+            cell.heard_at = Moment(-1e9)
+
+    def _stop_lapsed(self) -> None:
+        """On every controller: stop the tasks of guests as soon as their grant has ended."""
+        ctx = self.core.ctx
+        for home in ctx.grants.seen:
+            now_lapsed = ctx.grants.lapsed(home, ctx.now, ctx.wall)
+            if now_lapsed and not self.lapsed.get(home, True):
+                guests = self.core.view.guests.items()
+                names = [n for n, job in guests if job.guest and job.guest.home == home]
+                if names:
+                    log.info("the grant of %s has ended: %d jobs are stopped", home, len(names))
+                    self.core.stop_tasks(names)
+            self.lapsed[home] = now_lapsed
+
+    def take(self, raw: bytes, address: str) -> bool:
+        """A frame from another cell; False if its connection should end."""
+        if not self.port.leads():
+            return True  # the leader is told as well
+        return self.directory.take(raw, address) is not None
+
+    def frame(self, name: str, member: str) -> bytes:
+        """The next frame for a controller of another cell; empty if it is told nothing."""
+        if not self.port.leads() or not self.directory.speaks_to(name, member):
+            return b""
+        cell = self.directory.cells[name]
+        self.seq += 1
+        ctx = self.core.ctx
+        workers = ctx.settings.params.workers
+        frame = Frame(
+            cell=self.config.cell,
+            member=str(ctx.me),
+            token=self.core.view.token,
+            seq=self.seq,
+            sent_at=ctx.wall,
+            lease_s=workers.lease_s,
+            cancel_s=workers.cancel_s,
+            draining=self.config.spill.draining,
+            waits=self.encoded_waits,
+        )
+        return dump_frame(self.guest.fill(self.home.fill(frame, cell), cell))
+
+    # For operators
+
+    def condition(self) -> dict[str, Any]:
+        """What `coursefold cells` shows."""
+        waits = summarize(self.waits.histogram)
+        return {
+            "cells": {
+                "cell": self.config.cell,
+                "on": self.port.leads(),
+                "draining": self.config.spill.draining,
+                "others": [self._describe(cell) for cell in self.directory.cells.values()],
+                "home": dict(self.home.counts),
+                "guest": dict(self.guest.counts),
+                "waits": waits._asdict(),
+            }
+        }
+
+    def _describe(self, cell: OtherCell) -> dict[str, Any]:
+        ctx, view = self.core.ctx, self.core.view
+        away = [job.away for job in view.away.values() if job.away and job.away.cell == cell.name]
+        guests = [j for j in view.guests.values() if j.guest and j.guest.home == cell.name]
+        heard = ctx.now - cell.heard_at
+        summary = read_summary(cell.frame.waits) if cell.frame and cell.frame.waits else None
+        return {
+            "cell": cell.name,
+            "reachable": self.directory.is_reachable(cell.name),
+            "heard_s": round(heard, 1) if cell.frame else None,
+            "leader": cell.frame.member if cell.frame else None,
+            "offered": sum(a.stage == AwayStage.OFFERED for a in away),
+            "away": sum(a.stage != AwayStage.OFFERED for a in away),
+            "guests": len(guests),
+            "free_slots": round(sum(pool.free for pool in cell.pools), 1),
+            "waits": summary._asdict() if summary else None,
+        }
--- /dev/null
+++ b/coursefold/cells/config.py
@@ -0,0 +1,169 @@
+"""The file of cells, read and checked before anything else happens."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+from netaddr import AddrFormatError, IPAddress, IPNetwork, IPSet
+
+from coursefold.settings import Settings, SettingsError, split_address
+
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern="^[a-z0-9-]+$")]
+Seconds = Annotated[float, Meta(gt=0, le=3600)]
+Count = Annotated[int, Meta(ge=1, le=5_000)]  # a frame has room for so many jobs
+Share = Annotated[float, Meta(gt=0, le=1)]
+
+SKEW_CLOCKS = 2  # home's and guest's clock, each off by the bound
+CANCEL_MARGIN_S = 1.0
+
+
+class CellEntry(Struct, frozen=True, forbid_unknown_fields=True):
+    """One cell: its controllers by member, where they listen for other cells, its networks."""
+
+    name: Name
+    controllers: dict[str, str]
+    networks: list[str]
+
+
+class SpillLimits(Struct, frozen=True, forbid_unknown_fields=True):
+    """What this cell sends to others, and when."""
+
+    jobs: Count = 200  # away at once, at each other cell
+    offers: Count = 8  # unanswered at once, at each other cell
+    after_s: Seconds = 5.0  # a job has waited so long before it is offered
+    min_gain_s: Seconds = 20.0  # of expected wait, beyond fetch, handover and price
+    return_pause_s: Seconds = 120.0  # before a job that came back is offered again
+    start_s: Seconds = 180.0  # a job that runs nowhere after so long is taken back
+    draining: bool = False  # offers nothing, takes no guests
+
+
+class GuestLimits(Struct, frozen=True, forbid_unknown_fields=True):
+    """What this cell takes from others."""
+
+    jobs: Count = 200  # at once, all other cells together
+    share: Share = 0.5  # of a pool's slots
+    growth: Count = 8  # machines that may be rented for guests at once
+
+
+class CellsFile(Struct, frozen=True, forbid_unknown_fields=True):
+    """`deploy/cells.toml`: the same file for every controller of a cell."""
+
+    cell: Name
+    cells: list[CellEntry]
+    grant_s: Seconds | None = None
+    spill: SpillLimits = SpillLimits()
+    guests: GuestLimits = GuestLimits()
+
+
+class CellsConfig:
+    """The checked file, as one controller uses it."""
+
+    def __init__(self, file: CellsFile, settings: Settings) -> None:
+        self.file = file
+        self.cell = file.cell
+        self.spill, self.guests = file.spill, file.guests
+        self.entries = {entry.name: entry for entry in file.cells}
+        self.networks = {entry.name: IPSet(entry.networks) for entry in file.cells}
+        self.listen = self.entries[file.cell].controllers[settings.member]
+        self.grant_s = file.grant_s or longest_grant(settings)
+
+    @property
+    def others(self) -> list[CellEntry]:
+        """The cells that work may go to and come from."""
+        return [entry for entry in self.file.cells if entry.name != self.cell]
+
+    def allows(self, cell: str, address: str) -> bool:
+        """May frames of the cell come from this address?"""
+        networks = self.networks.get(cell)
+        return networks is not None and cell != self.cell and IPAddress(address) in networks
+
+    def allows_any(self, address: str) -> bool:
+        """Is the address within any other cell's networks?"""
+        return any(self.allows(entry.name, address) for entry in self.others)
+
+
+def longest_grant(settings: Settings, lease_s: float | None = None) -> float:
+    """The longest grant under which a cancellation is kept in a cell that can't be reached.
+
+    A grant that was renewed just before the cancellation runs out, then the leases of the
+    guest cell's workers do; both clocks may be off. Zero or less: no grant is short enough.
+    """
+    workers = settings.params.workers
+    lease = workers.lease_s if lease_s is None else lease_s
+    skew = SKEW_CLOCKS * settings.params.skew_ms / 1000.0
+    return workers.cancel_s - lease * 1.002 - skew - CANCEL_MARGIN_S
+
+
+def _check_cell(file: CellsFile, at: int, seen: dict[str, str]) -> None:
+    entry = file.cells[at]
+    if not entry.controllers:
+        raise SettingsError(f"cells[{at}].controllers: none is named")
+    if not entry.networks:
+        raise SettingsError(f"cells[{at}].networks: none is named")
+    for member, address in entry.controllers.items():
+        try:
+            split_address(address)
+        except ValueError as wrong:
+            raise SettingsError(f"cells[{at}].controllers.{member}: {wrong}") from None
+        if address in seen:
+            raise SettingsError(
+                f"cells[{at}].controllers.{member}: {address} is in cell {seen[address]} already"
+            )
+        seen[address] = entry.name
+    for number, network in enumerate(entry.networks):
+        try:
+            IPNetwork(network)
+        except (AddrFormatError, ValueError):
+            raise SettingsError(
+                f"cells[{at}].networks[{number}]: {network!r} is no network"
+            ) from None
+
+
+def _check_networks(file: CellsFile) -> None:
+    """A frame's cell is told by its address, so no two cells may share one."""
+    for at, entry in enumerate(file.cells):
+        for other in file.cells[:at]:
+            if not IPSet(entry.networks).isdisjoint(IPSet(other.networks)):
+                raise SettingsError(f"cells[{at}].networks: overlap with those of {other.name}")
+
+
+def check(file: CellsFile, settings: Settings) -> None:
+    """What types alone cannot say."""
+    names = [entry.name for entry in file.cells]
+    if file.cell not in names:
+        raise SettingsError(f"cells: the own cell {file.cell!r} is not among them")
+    if len(set(names)) != len(names):
+        raise SettingsError("cells: names are not all different")
+    seen: dict[str, str] = {}
+    for at in range(len(file.cells)):
+        _check_cell(file, at, seen)
+    _check_networks(file)
+    own = file.cells[names.index(file.cell)]
+    if settings.member not in own.controllers:
+        raise SettingsError(f"cells[{names.index(file.cell)}].controllers: {settings.member} lacks")
+    longest = longest_grant(settings)
+    if longest <= 0:
+        raise SettingsError("params.workers.cancel_s: too short for any grant to another cell")
+    if file.grant_s is not None and file.grant_s > longest:
+        raise SettingsError(f"grant_s: must be {longest:g} or less with this cancel_s and lease_s")
+
+
+def load_cells(path: Path, settings: Settings) -> CellsConfig:
+    """Read and check the file; every fault is a SettingsError that names the field."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+        file = msgspec.convert(raw, CellsFile)
+        check(file, settings)
+    except SettingsError as wrong:
+        raise SettingsError(f"{path}: {wrong}") from None
+    except OSError as wrong:
+        raise SettingsError(f"{path}: {wrong.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
+        raise SettingsError(f"{path}: not TOML: {wrong}") from None
+    except msgspec.ValidationError as wrong:
+        what, _, where = str(wrong).partition(" - at ")
+        where = where.strip("`").removeprefix("$.") or "top level"
+        raise SettingsError(f"{path}: {where}: {what}") from None
+    return CellsConfig(file, settings)
--- /dev/null
+++ b/coursefold/cells/edits.py
@@ -0,0 +1,217 @@
+"""Edits of job records and links: every step of a handover, each checked against the record.
+
+Home's steps name the epoch, the guest's the reservation too, so that a late or repeated one
+changes nothing.
+"""
+
+import msgspec
+from msgspec import Struct
+
+from coursefold.cells.messages import GuestState, Handle, Offer, Ranges
+from coursefold.coordination.jobs import settle
+from coursefold.storage import records
+from coursefold.storage.cell_records import Away, AwayStage, CellLink, Guest, GuestStage
+from coursefold.storage.queue import Change, NotApplicableError, Remove, Result
+from coursefold.storage.records import Ending, JobRecord
+
+replace = msgspec.structs.replace
+
+
+def merged(done: Ranges, more: Ranges) -> Ranges:
+    """Ranges of task numbers brought together, in order."""
+    found: Ranges = []
+    for low, high in sorted([*done, *more]):
+        if found and low <= found[-1][1] + 1:
+            found[-1] = (found[-1][0], max(high, found[-1][1]))
+        else:
+            found.append((low, high))
+    return found
+
+
+# The home cell's
+
+
+def _away(record: Struct | None, cell: str, handle: Handle) -> tuple[JobRecord, Away]:
+    """The record, if the job is away under this epoch."""
+    if not isinstance(record, JobRecord) or record.away is None:
+        raise NotApplicableError("not away")
+    away = record.away
+    if not record.is_away or (away.cell, away.epoch) != (cell, handle.epoch):
+        raise NotApplicableError("away under another epoch")
+    return record, away
+
+
+def offer(away: Away, ready: float) -> Change:
+    """From here on nothing of the job starts at home, until it has come back."""
+
+    def change(record: Struct | None) -> Result:
+        if not isinstance(record, JobRecord) or record.status != records.LIVE:
+            raise NotApplicableError("over")
+        last = record.away.epoch if record.away else 0
+        if record.is_away or record.entries or record.guest is not None or away.epoch != last + 1:
+            raise NotApplicableError("not waiting")
+        return replace(record, away=away, needs=[], ready=ready if record.needs else record.ready)
+
+    return change
+
+
+def grant(cell: str, handle: Handle, wall: float) -> Change:
+    """The guest cell has reserved room: it may start the job, for as long as the grant holds."""
+
+    def change(record: Struct | None) -> Result:
+        job, away = _away(record, cell, handle)
+        if away.stage != AwayStage.OFFERED or job.status != records.LIVE:
+            raise NotApplicableError("not offered")
+        granted = replace(away, stage=AwayStage.GRANTED, reservation=handle.reservation, at=wall)
+        return replace(job, away=granted)
+
+    return change
+
+
+def mark_running(cell: str, handle: Handle, wall: float) -> Change:
+    """The guest cell says that tasks run: for the job's user."""
+
+    def change(record: Struct | None) -> Result:
+        job, away = _away(record, cell, handle)
+        if away.stage != AwayStage.GRANTED or away.reservation != handle.reservation:
+            raise NotApplicableError("not granted")
+        return replace(job, away=replace(away, stage=AwayStage.RUNNING, at=wall))
+
+    return change
+
+
+def withdraw(cell: str, handle: Handle, wall: float, why: str) -> Change:
+    """Have the guest cell stop and release the job."""
+
+    def change(record: Struct | None) -> Result:
+        job, away = _away(record, cell, handle)
+        if away.stage not in (AwayStage.GRANTED, AwayStage.RUNNING):
+            raise NotApplicableError("not granted")
+        return replace(job, away=replace(away, stage=AwayStage.WITHDRAWN, at=wall, why=why))
+
+    return change
+
+
+def take_back(
+    cell: str, handle: Handle, wall: float, why: str, told: GuestState | None = None
+) -> Change:
+    """The job is at home again: on the guest cell's word, on proof, or before any grant.
+
+    `told` is that word: it names the reservation, and what was done there is done.
+    """
+
+    def change(record: Struct | None) -> Result:
+        job, away = _away(record, cell, handle)
+        if away.stage != AwayStage.OFFERED and away.reservation != handle.reservation:
+            raise NotApplicableError("another reservation")
+        back = replace(away, stage=AwayStage.HOME, at=wall, why=why)
+        if told is not None:
+            done = [r for r in merged(job.done, told.done) if r[1] < job.spec.tasks]
+            job = replace(job, done=done, attempt=max(job.attempt, told.attempt))
+        return settle(replace(job, away=back))
+
+    return change
+
+
+def finish(cell: str, handle: Handle) -> Change:
+    """The guest cell has finished the job."""
+
+    def change(record: Struct | None) -> Result:
+        job, away = _away(record, cell, handle)
+        if away.stage == AwayStage.OFFERED or away.reservation != handle.reservation:
+            raise NotApplicableError("another reservation")
+        if job.status == records.CANCELLED:
+            return Ending(records.CANCELLED, job.spec.tasks)
+        return Ending(records.DONE, job.spec.tasks)
+
+    return change
+
+
+def extend_grant(until: float, span: float, gone_s: float) -> Change:
+    """Written before the guest cell is told: no successor takes a job back sooner."""
+
+    def change(record: Struct | None) -> Result:
+        link = record if isinstance(record, CellLink) else CellLink()
+        if until <= link.granted_until:
+            raise NotApplicableError("granted for longer")
+        return replace(link, granted_until=until, granted_s=span, granted_gone_s=gone_s)
+
+    return change
+
+
+# The guest cell's
+
+
+def reserve(home: str, item: Offer, reservation: str, wall: float) -> Change:
+    """Promise room for another cell's job; nothing of it starts yet."""
+
+    def change(record: Struct | None) -> Result:
+        if record is not None:
+            raise NotApplicableError("the id is taken here")
+        guest = Guest(home, item.handle.epoch, reservation, GuestStage.RESERVED, wall)
+        return JobRecord(
+            item.spec, item.at, attempt=item.attempt, done=item.done, ready=wall, guest=guest
+        )
+
+    return change
+
+
+def _guest(record: Struct | None, home: str, handle: Handle) -> tuple[JobRecord, Guest]:
+    if not isinstance(record, JobRecord) or record.guest is None:
+        raise NotApplicableError("not a guest")
+    guest = record.guest
+    if (guest.home, guest.epoch, guest.reservation) != (home, handle.epoch, handle.reservation):
+        raise NotApplicableError("under another reservation")
+    return record, guest
+
+
+def accept_grant(home: str, handle: Handle, wall: float) -> Change:
+    """Home has granted the reservation: its tasks may be placed."""
+
+    def change(record: Struct | None) -> Result:
+        job, guest = _guest(record, home, handle)
+        if guest.stage != GuestStage.RESERVED or job.status != records.LIVE:
+            raise NotApplicableError("not reserved")
+        return replace(job, guest=replace(guest, stage=GuestStage.GRANTED, at=wall))
+
+    return change
+
+
+def revoke(home: str, handle: Handle) -> Change:
+    """Nothing of it starts any more; what has a place is stopped, and then it is released."""
+
+    def change(record: Struct | None) -> Result:
+        job, guest = _guest(record, home, handle)
+        if job.status != records.LIVE or guest.stage not in (
+            GuestStage.RESERVED,
+            GuestStage.GRANTED,
+        ):
+            raise NotApplicableError("revoked")
+        kept = [entry for entry in job.entries if entry.stage != records.DEALT]
+        return settle(replace(job, status=records.CANCELLED, entries=kept))
+
+    return change
+
+
+def forget(home: str, handle: Handle) -> Change:
+    """Its home has confirmed what became of it, or never granted it: the record goes."""
+
+    def change(record: Struct | None) -> Result:
+        job, guest = _guest(record, home, handle)
+        if job.entries or guest.stage == GuestStage.GRANTED:
+            raise NotApplicableError("it may still run")
+        return Remove()
+
+    return change
+
+
+def hold_grant(until: float, span: float) -> Change:
+    """What home has told us: guests may run until then."""
+
+    def change(record: Struct | None) -> Result:
+        link = record if isinstance(record, CellLink) else CellLink()
+        if until <= link.held_until:
+            raise NotApplicableError("known")
+        return replace(link, held_until=until, held_s=span)
+
+    return change
--- /dev/null
+++ b/coursefold/cells/home.py
@@ -0,0 +1,361 @@
+"""The home cell's side: what it offers, grants, and takes back.
+
+Each step is written before the guest cell is told, so that every later leader of this cell
+knows at least as much as any guest was told. A job that was granted comes back on one of two
+proofs: the guest cell's word on exactly this reservation, or the end of every grant that it
+can have been told, and of what its tasks may go on for after that.
+"""
+
+import logging
+from collections import Counter
+from typing import NamedTuple
+
+from coursefold.cells import edits
+from coursefold.cells.config import SKEW_CLOCKS, CellsConfig, longest_grant
+from coursefold.cells.directory import Directory, OtherCell
+from coursefold.cells.estimate import Pools
+from coursefold.cells.messages import Frame, GuestState, Handle, Offer
+from coursefold.cells.policy import Candidate, Choice, Target, choose
+from coursefold.cells.port import CorePort, WaitingJob
+from coursefold.cells.waits import WaitLog
+from coursefold.protocol.ids import JobId, Moment
+from coursefold.settings import CLOCK_DRIFT
+from coursefold.storage import records
+from coursefold.storage.cell_records import Away, AwayStage, CellLink, GuestStage
+from coursefold.storage.records import JobRecord
+
+log = logging.getLogger(__name__)
+
+CHOOSE_EVERY_S = 1.0
+OFFER_S = 6.0  # without an answer: the job comes back, for nothing was granted
+RENEW_AT = 0.7  # of its span: what is left of a grant when it is renewed
+GRANT_AT = 0.4  # and what must be left of one when a job is granted under it
+FIRST_LOOK_S = 15.0  # a granted job is left alone for so long
+PROOF_MARGIN_S = 5.0  # an answer may be executed 4 s after it was given
+DONE_RANGES = 500  # a job with more is not offered: they would fill the frames
+
+
+class SeenGrant(NamedTuple):
+    """The end of the grants to a cell as recorded, and when this process first saw it."""
+
+    until: float
+    at: Moment
+
+
+class HomeSide:
+    """Our jobs in other cells."""
+
+    def __init__(
+        self, config: CellsConfig, port: CorePort, directory: Directory, waits: WaitLog
+    ) -> None:
+        self.config, self.port, self.directory, self.waits = config, port, directory, waits
+        self.ctx, self.view = port.ctx, port.view
+        self.seen: dict[str, SeenGrant] = {}
+        self.chosen_at = Moment(-1e9)
+        self.counts: Counter[str] = Counter()
+
+    def observe(self) -> None:
+        """Note the grants that the records show; on every controller, for it may lead next."""
+        for cell, link in self.view.links.items():
+            known = self.seen.get(cell)
+            if known is None or known.until != link.granted_until:
+                self.seen[cell] = SeenGrant(link.granted_until, self.ctx.now)
+
+    def tick(self) -> None:
+        """One round of the leader."""
+        for name, job in list(self.view.away.items()):
+            away = job.away
+            if away is not None:
+                self._follow(name, job, away, Handle(name, away.epoch, away.reservation))
+        for cell in self.directory.cells.values():
+            self._renew(cell)
+        if self.ctx.now - self.chosen_at >= CHOOSE_EVERY_S:
+            self.chosen_at = self.ctx.now
+            self._offer_more()
+
+    # Jobs that are away
+
+    def _follow(self, name: JobId, job: JobRecord, away: Away, handle: Handle) -> None:
+        if away.stage == AwayStage.OFFERED:
+            self._follow_offer(name, away, handle)
+            return
+        told = self._told(away, handle)
+        if told is not None and told.stage == GuestStage.FINISHED:
+            if self.port.change_job(name, edits.finish(away.cell, handle), f"cell{away.epoch}"):
+                self.counts["finished"] += 1
+                log.info("%s finished in %s: epoch %d", name, away.cell, away.epoch)
+        elif told is not None and told.stage == GuestStage.RELEASED:
+            self._take_back(name, away, handle, self._why_back(away), told)
+        elif self._is_proven_gone(away.cell):
+            self._take_back(name, away, handle, "the cell was not heard until its grant was over")
+            self.counts["lost"] += 1
+        elif told is not None and told.running and away.stage == AwayStage.GRANTED:
+            change = edits.mark_running(away.cell, handle, self.ctx.wall)
+            self.port.change_job(name, change, f"cell{away.epoch}")
+        elif away.stage == AwayStage.GRANTED and job.status == records.LIVE:
+            self._withdraw_if_stuck(name, job, away, handle)
+
+    @staticmethod
+    def _why_back(away: Away) -> str:
+        if away.stage == AwayStage.WITHDRAWN:
+            return away.why
+        return "the cell has released it"
+
+    def _told(self, away: Away, handle: Handle) -> GuestState | None:
+        cell = self.directory.cells.get(away.cell)
+        frame = cell.frame if cell else None
+        if frame is None:
+            return None
+        return next((state for state in frame.guests if state.handle == handle), None)
+
+    def _follow_offer(self, name: JobId, away: Away, handle: Handle) -> None:
+        cell = self.directory.cells.get(away.cell)
+        frame = cell.frame if cell else None
+        if cell is not None and frame is not None:
+            for state in frame.guests:
+                if state.handle[:2] == handle[:2] and state.stage == GuestStage.RESERVED:
+                    self._grant(cell, name, state.handle)
+                    return
+            for refusal in frame.refusals:
+                if refusal.handle[:2] == handle[:2]:
+                    self._take_back(name, away, handle, f"refused: {refusal.why}")
+                    self.counts["refused"] += 1
+                    return
+        if self.ctx.wall - away.at > OFFER_S:
+            self._take_back(name, away, handle, "no answer")
+            self.counts["unanswered"] += 1
+
+    def _grant(self, cell: OtherCell, name: JobId, handle: Handle) -> None:
+        link = self.view.links.get(cell.name, CellLink())
+        left = link.granted_until - self.ctx.wall
+        if not self.directory.is_reachable(cell.name) or left < GRANT_AT * link.granted_s:
+            return  # the grant is renewed first; or the offer runs out
+        if left <= 0:
+            return
+        change = edits.grant(cell.name, handle, self.ctx.wall)
+        if self.port.change_job(name, change, f"cell{handle.epoch}"):
+            self.counts["granted"] += 1
+            log.info(
+                "grant %s to %s: epoch %d, reservation %s",
+                name, cell.name, handle.epoch, handle.reservation,
+            )  # fmt: skip
+
+    def _take_back(
+        self, name: JobId, away: Away, handle: Handle, why: str, told: GuestState | None = None
+    ) -> None:
+        change = edits.take_back(away.cell, handle, self.ctx.wall, why, told)
+        if self.port.change_job(name, change, f"cell{away.epoch}"):
+            self.counts["returned"] += 1
+            log.info("take %s back from %s: epoch %d, %s", name, away.cell, away.epoch, why)
+
+    def _withdraw_if_stuck(self, name: JobId, job: JobRecord, away: Away, handle: Handle) -> None:
+        """Room that was promised has not come to be: the job may do better at home."""
+        granted_s = self.ctx.wall - away.at
+        limits = self.config.spill
+        if granted_s > limits.start_s:
+            why = f"nothing of it ran there in {limits.start_s:.0f} s"
+        elif granted_s > FIRST_LOOK_S and self._expected_there(job, away) > limits.start_s:
+            why = "its room there is gone"
+        else:
+            return
+        change = edits.withdraw(away.cell, handle, self.ctx.wall, why)
+        if self.port.change_job(name, change, f"cell{away.epoch}"):
+            log.info("withdraw %s from %s: epoch %d, %s", name, away.cell, away.epoch, why)
+
+    def _expected_there(self, job: JobRecord, away: Away) -> float:
+        """The wait that the guest cell's pools tell for a job that is in their queue."""
+        cell = self.directory.cells.get(away.cell)
+        if cell is None or not self.directory.is_reachable(away.cell):
+            return 0.0
+        expected = Pools(cell.pools).best(job.spec, 1)
+        return expected.wait if expected else 0.0
+
+    # Grants
+
+    def _is_proven_gone(self, cell: str) -> bool:
+        """Has every grant that the cell can know of run out, and all that ran under it ended?
+
+        Counted by the time of day, and by the steady clock since this process first saw the
+        last grant's record, so that a clock that is set forwards takes nothing back early.
+        """
+        link = self.view.links.get(cell)
+        seen = self.seen.get(cell)
+        if link is None or seen is None or not link.granted_until:
+            return True  # never was anything granted
+        skew = SKEW_CLOCKS * self.ctx.settings.params.skew_ms / 1000.0
+        margin = skew + PROOF_MARGIN_S
+        if self.ctx.wall < link.granted_until + link.granted_gone_s + margin:
+            return False
+        span = (link.granted_s + link.granted_gone_s) * CLOCK_DRIFT + margin
+        return self.ctx.now - seen.at > span
+
+    def _renew(self, cell: OtherCell) -> None:
+        """Extend the grant to a cell that hears us and has work of ours.
+
+        Not while it has not acknowledged the last extension: a cell that is heard but does
+        not hear would else keep our jobs for ever.
+        """
+        frame = cell.frame
+        link = self.view.links.get(cell.name, CellLink())
+        if frame is None or not self.directory.is_reachable(cell.name):
+            return
+        stages = [job.away.stage for job in self._jobs_at(cell.name).values() if job.away]
+        if not stages:
+            return
+        is_held = any(stage != AwayStage.OFFERED for stage in stages)
+        if is_held and frame.held_until < link.granted_until:
+            return
+        span = self._span(frame)
+        # From the moment up to which our records show every cancellation: what was confirmed
+        # after it is younger than the grant.
+        base = self.ctx.wall - max(0.0, self.ctx.now - self.ctx.follow_ok_at)
+        if span <= 0 or link.granted_until - base > RENEW_AT * span:
+            return
+        change = edits.extend_grant(base + span, span, frame.lease_s)
+        self.port.change_link(cell.name, change, "granted")
+
+    def _span(self, frame: Frame) -> float:
+        """How long a grant to the cell may be, for cancellations to hold there."""
+        return min(self.config.grant_s, longest_grant(self.ctx.settings, frame.lease_s))
+
+    def _jobs_at(self, cell: str) -> dict[JobId, JobRecord]:
+        away = self.view.away.items()
+        return {name: job for name, job in away if job.away and job.away.cell == cell}
+
+    # Offers
+
+    def _offer_more(self) -> None:
+        queue = self.port.queue()
+        for wait in queue.waiting:
+            if wait.job.guest is None:
+                self.waits.expect(wait.name, wait.expected_s)
+        targets = self._targets()
+        if not targets:
+            return
+        candidates = self._candidates(queue.waiting, queue.pools)
+        for choice in choose(candidates, targets, self.config.spill, self.port.eta()):
+            self._offer(choice)
+
+    def _targets(self) -> dict[str, Target]:
+        limits = self.config.spill
+        found: dict[str, Target] = {}
+        if limits.draining or self._has_guests():
+            return found
+        for cell in self.directory.cells.values():
+            frame = cell.frame
+            if frame is None or not self.directory.is_reachable(cell.name) or frame.draining:
+                continue
+            stages = [job.away.stage for job in self._jobs_at(cell.name).values() if job.away]
+            open_offers = sum(stage == AwayStage.OFFERED for stage in stages)
+            room = min(limits.offers - open_offers, limits.jobs - len(stages))
+            if room > 0 and self._span(frame) > 0:
+                pools = Pools(cell.pools)
+                found[cell.name] = Target(pools, room)
+                cell.pools = pools.states  # what is offered now counts until the next frame
+        return found
+
+    def _has_guests(self) -> bool:
+        """Do other cells' jobs take room here? Our own go before them, and need no other cell.
+
+        Seen: two cells that were both full exchanged their jobs, and a gang of two waited
+        behind the other's own work for longer than it would have at home.
+        """
+        stages = (job.guest.stage for job in self.view.guests.values() if job.guest)
+        return any(stage in (GuestStage.RESERVED, GuestStage.GRANTED) for stage in stages)
+
+    def _candidates(self, waiting: list[WaitingJob], pools: Pools) -> list[Candidate]:
+        """Jobs that may go: whole, none of their tasks placed, within their team's limit."""
+        quota = self.port.quota()
+        found: list[Candidate] = []
+        for wait in waiting:
+            spec = wait.job.spec
+            if not self._may_go(wait) or not quota.fits(spec, wait.tasks):
+                continue
+            quota.take(spec, wait.tasks)
+            best = pools.best(spec, 1)
+            price = pools.states[best.pool].price if best else 0.0
+            due = None
+            if spec.due is not None:
+                due = wait.job.at + spec.due - self.ctx.wall
+            here_s = wait.expected_s * self.waits.factor
+            found.append(
+                Candidate(wait.name, spec, wait.tasks, here_s, self.port.run_s(spec), price, due)
+            )
+        return found
+
+    def _may_go(self, wait: WaitingJob) -> bool:
+        job = wait.job
+        if job.guest is not None or job.entries or job.spec.shape == "standing":
+            return False
+        if wait.age < self.config.spill.after_s or len(job.done) > DONE_RANGES:
+            return False
+        away = job.away
+        if away is not None and self.ctx.wall - away.at < self.config.spill.return_pause_s:
+            return False
+        return not self.port.is_busy(wait.name)
+
+    def _offer(self, choice: Choice) -> None:
+        job = self.view.jobs[choice.name]
+        epoch = (job.away.epoch if job.away else 0) + 1
+        away = Away(
+            choice.cell, epoch, AwayStage.OFFERED, self.ctx.wall,
+            expected_here=round(choice.here_s, 1), expected_there=round(choice.there_s, 1),
+            why=choice.why,
+        )  # fmt: skip
+        change = edits.offer(away, self.view.since(choice.name, job))
+        if self.port.change_job(choice.name, change, f"cell{epoch}"):
+            self.counts["offered"] += 1
+            log.info(
+                "offer %s to %s: epoch %d, expected wait here %.0f s, there %.0f s: %s",
+                choice.name, choice.cell, epoch, choice.here_s, choice.there_s, choice.why,
+            )  # fmt: skip
+
+    # Frames
+
+    def fill(self, frame: Frame, cell: OtherCell) -> Frame:
+        """Add what we are to the cell as its guests' home."""
+        offers: list[Offer] = []
+        grants: list[Handle] = []
+        revoked: list[Handle] = []
+        for name, job in self._jobs_at(cell.name).items():
+            away = job.away
+            if away is None:
+                continue
+            handle = Handle(name, away.epoch, away.reservation)
+            if away.stage == AwayStage.OFFERED:
+                offers.append(
+                    Offer(handle, job.spec, job.at, job.attempt, job.done, away.expected_here)
+                )
+            elif away.stage == AwayStage.WITHDRAWN or job.status != records.LIVE:
+                revoked.append(handle)
+            else:
+                grants.append(handle)
+        link = self.view.links.get(cell.name, CellLink())
+        return frame._replace(
+            until=link.granted_until,
+            grant_s=link.granted_s,
+            offers=tuple(offers),
+            grants=tuple(grants),
+            revoked=tuple(revoked),
+            closed=self._closed(cell),
+        )
+
+    def _closed(self, cell: OtherCell) -> tuple[Handle, ...]:
+        """Guests that the cell names and that are not ours there, or not any more.
+
+        Final: an epoch or a reservation that is over is never used again.
+        """
+        if cell.frame is None:
+            return ()
+        return tuple(
+            state.handle
+            for state in cell.frame.guests
+            if not self._is_current(cell.name, state.handle)
+        )
+
+    def _is_current(self, cell: str, handle: Handle) -> bool:
+        job = self.view.away.get(handle.job)
+        away = job.away if job else None
+        if away is None or (away.cell, away.epoch) != (cell, handle.epoch):
+            return False
+        return away.stage == AwayStage.OFFERED or away.reservation == handle.reservation
--- /dev/null
+++ b/coursefold/cells/port.py
@@ -0,0 +1,114 @@
+"""The core as cells see it: all that they ask of it and may do to it, in one place."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from coursefold.cells.estimate import Pools, pool_state
+from coursefold.cells.messages import PoolState
+from coursefold.coordination.core import Core
+from coursefold.coordination.placement import Place
+from coursefold.coordination.quota import Quota, limit_fits
+from coursefold.protocol.ids import JobId
+from coursefold.protocol.wire import Job
+from coursefold.storage import records
+from coursefold.storage.queue import SOON, Change, Edit
+from coursefold.storage.records import JobRecord, cell_link_key, job_key
+
+MOST_GROWTH = 1e6  # slots: our own loop rents what our queue needs
+
+
+class WaitingJob(NamedTuple):
+    """A job that waits here, in queue order, and its expected wait."""
+
+    name: JobId
+    job: JobRecord
+    tasks: int
+    age: float
+    expected_s: float
+
+
+class Queue(NamedTuple):
+    """What waits here, and the pools once all of it is on its way."""
+
+    waiting: list[WaitingJob]
+    pools: Pools
+
+
+class CorePort:
+    """One controller's core."""
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        self.ctx = core.ctx
+        self.view = core.view
+
+    def leads(self) -> bool:
+        """May this controller decide for its cell, in the forms that cells need?"""
+        return self.ctx.leading() and self.view.level >= records.WITH_CELLS
+
+    def quota(self) -> Quota:
+        """The teams' limits and what is used of them now."""
+        return Quota(self.ctx.settings.params.teams, self.view.usage)
+
+    def team_has_room(self, spec: Job, tasks: int) -> str:
+        """Why this cell would not run a job of the team; empty if it would."""
+        team = next((t for t in self.ctx.settings.params.teams if t.name == spec.team), None)
+        if team is None:
+            return f"team {spec.team} is not known here"
+        if not limit_fits(team, spec, tasks if spec.shape == "ensemble" else 1):
+            return f"the job needs more than the limit of team {spec.team} here"
+        return ""
+
+    def run_s(self, spec: Job) -> float:
+        """Mean run time of a task of the job's class, as far as is known."""
+        return self.core.leader.runs.mean(spec, self.ctx.now)
+
+    def eta(self) -> float:
+        """The weight of wait against cost."""
+        return self.ctx.policy.parameters.eta
+
+    def queue(self) -> Queue:
+        """Spread what waits over the pools in queue order: each job behind those before it."""
+        pools = Pools(self._pool_states())
+        waiting: list[WaitingJob] = []
+        for wait in self.core.leader.queue(self.quota()):
+            tasks = wait.job.waiting_count
+            expected = pools.best(wait.job.spec, tasks)
+            if expected is None:
+                continue
+            pools.take(expected.pool, wait.job.spec, tasks)
+            waiting.append(WaitingJob(wait.name, wait.job, tasks, wait.age, expected.wait))
+        return Queue(waiting, pools)
+
+    def _pool_states(self) -> Iterable[PoolState]:
+        fleet = self.core.fleet
+        for pool, demand in fleet.pools.demands.items():
+            places = (Place(pool.build, zone, pool.spot) for zone in demand.kind.zones)
+            # Not those that are blocked just now: a place that refused is asked again and
+            # again, and counts as full until the cloud has filled a whole request there.
+            grows = any(place not in fleet.hires.refusals for place in places)
+            yield pool_state(demand, MOST_GROWTH if grows else 0.0)
+
+    def pool_sizes(self) -> list[float]:
+        """Slots of each pool, in the order in which `queue` has them."""
+        return [float(d.machines * d.k) for d in self.core.fleet.pools.demands.values()]
+
+    def is_busy(self, name: JobId) -> bool:
+        """Is a change of the job's record under way, or one of its tasks about to be placed?"""
+        if self.core.queue.busy(job_key(name)):
+            return True
+        return any(job == name for job, _ in self.ctx.pending)
+
+    def change_job(self, name: JobId, change: Change, tag: str, rank: int = SOON) -> bool:
+        """Have a job's record changed; False while the same change is under way."""
+        edit = Edit(job_key(name), change, rank=rank, fence=self.view.token, tag=tag)
+        return self.core.queue.propose(edit)
+
+    def propose(self, edit: Edit) -> bool:
+        """Have an edit written that wants to know its outcome."""
+        return self.core.queue.propose(edit)
+
+    def change_link(self, cell: str, change: Change, tag: str) -> bool:
+        """Have the record of what is granted to and by another cell changed."""
+        edit = Edit(cell_link_key(cell), change, fence=self.view.token, tag=tag)
+        return self.core.queue.propose(edit)
--- /dev/null
+++ b/coursefold/cells/waits.py
@@ -0,0 +1,100 @@
+"""Measured waits until jobs start, and how far the model's expectations are off."""
+
+from collections import deque
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from coursefold.protocol.ids import JobId, Moment
+from coursefold.storage import records
+from coursefold.storage.view import View
+
+SHORTEST_MS = 1
+LONGEST_MS = 24 * 3600 * 1000
+DIGITS = 2
+SAMPLES = 200  # of the newest jobs, for the correction
+LEAST_SAMPLES = 20
+LEAST_FACTOR, MOST_FACTOR = 0.5, 3.0
+GRACE_S = 1.0  # added on both sides of the ratio: short waits are all noise
+LOOKED_AT_S = 2.0
+
+
+class Summary(NamedTuple):
+    """A distribution of waits, in seconds."""
+
+    jobs: int
+    median: float
+    p90: float
+    p99: float
+
+
+def new_histogram() -> HdrHistogram:
+    """An empty histogram of milliseconds."""
+    return HdrHistogram(SHORTEST_MS, LONGEST_MS, DIGITS)
+
+
+def summarize(histogram: HdrHistogram) -> Summary:
+    """Median and high percentiles."""
+    found = [histogram.get_value_at_percentile(p) / 1000.0 for p in (50, 90, 99)]
+    return Summary(histogram.get_total_count(), *found)
+
+
+def read_summary(encoded: bytes) -> Summary | None:
+    """The summary of another cell's encoded histogram; None for what is not one."""
+    try:
+        return summarize(HdrHistogram.decode(encoded))
+    except Exception:  # the library raises whatever its C code or zlib do
+        return None
+
+
+class Expected(NamedTuple):
+    """What the model said of a job when it was first seen waiting."""
+
+    since: float
+    seconds: float
+
+
+class WaitLog:
+    """Waits of this cell's own jobs, and the factor that corrects the model by them."""
+
+    def __init__(self, view: View) -> None:
+        self.view = view
+        self.histogram = new_histogram()
+        self.expected: dict[JobId, Expected] = {}
+        self.pairs: deque[tuple[float, float]] = deque(maxlen=SAMPLES)
+        self.looked_at = Moment(-1e9)
+
+    def expect(self, name: JobId, seconds: float) -> None:
+        """Note the model's first word on a waiting job."""
+        if name not in self.expected:
+            job = self.view.jobs[name]
+            self.expected[name] = Expected(self.view.since(name, job), seconds)
+
+    def look(self, now: Moment, wall: float) -> None:
+        """Note which of the jobs that waited have started."""
+        if now - self.looked_at < LOOKED_AT_S:
+            return
+        self.looked_at = now
+        for name, expected in list(self.expected.items()):
+            job = self.view.jobs.get(name)
+            if job is not None and not job.entries and not job.done and not job.is_away:
+                continue
+            del self.expected[name]
+            if job is None or job.status != records.LIVE or job.is_away:
+                continue  # it ended unseen, was cancelled, or waits elsewhere
+            waited = max(0.0, wall - expected.since)
+            self.histogram.record_value(max(SHORTEST_MS, int(waited * 1000)))
+            self.pairs.append((waited, expected.seconds))
+
+    @property
+    def factor(self) -> float:
+        """Measured waits over expected ones; 1 until enough jobs have started."""
+        if len(self.pairs) < LEAST_SAMPLES:
+            return 1.0
+        measured = GRACE_S + sum(waited for waited, _ in self.pairs) / len(self.pairs)
+        modelled = GRACE_S + sum(seconds for _, seconds in self.pairs) / len(self.pairs)
+        return min(MOST_FACTOR, max(LEAST_FACTOR, measured / modelled))
+
+    def encoded(self) -> bytes:
+        """The histogram for other cells; empty while it is."""
+        return bytes(self.histogram.encode()) if self.histogram.get_total_count() else b""
--- a/coursefold/cli.py
+++ b/coursefold/cli.py
@@ -13,6 +13,7 @@
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 POLICY_VARIABLE = "COURSEFOLD_POLICY"
+CELLS_VARIABLE = "COURSEFOLD_CELLS"
 file_argument = click.Path(path_type=Path)
 
 
@@ -38,6 +39,15 @@
         _fail(wrong, 2)
 
 
+def _cells(path: Path, settings: Settings) -> Any:
+    from coursefold.cells.config import load_cells  # netaddr only where there are cells
+
+    try:
+        return load_cells(path, settings)
+    except SettingsError as wrong:
+        _fail(wrong, 2)
+
+
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="coursefold")
 def main() -> None:
@@ -47,10 +57,12 @@
 @main.command()
 @click.option("--config", required=True, type=file_argument, help="Settings (TOML).")
 @click.option("--policy", type=file_argument, envvar=POLICY_VARIABLE, help="Operators' policy.")
-def serve(config: Path, policy: Path | None) -> None:
+@click.option("--cells", type=file_argument, envvar=CELLS_VARIABLE, help="Other cells (TOML).")
+def serve(config: Path, policy: Path | None, cells: Path | None) -> None:
     """Run a controller until it is killed."""
     settings = _settings(config)
     rules = _policy(policy) if policy is not None else None
+    others = _cells(cells, settings) if cells is not None else None
     level = os.environ.get("LOG_LEVEL", "info")
     logging.basicConfig(
         level=LEVELS.get(level, logging.INFO),
@@ -59,7 +71,7 @@
     )
     from coursefold.service import run  # tornado only where it is needed
 
-    run(settings, rules)
+    run(settings, rules, others)
 
 
 @main.command("check-config")
@@ -70,6 +82,17 @@
     click.echo(f"{config}: ok, {settings.member} with {len(settings.siblings)} siblings")
 
 
+@main.command("check-cells")
+@click.argument("cells", type=file_argument)
+@click.option("--config", required=True, type=file_argument, help="Settings (TOML).")
+def check_cells(cells: Path, config: Path) -> None:
+    """Check a file of cells against a controller's settings; exit code 2 names the first fault."""
+    checked = _cells(cells, _settings(config))
+    names = ", ".join(entry.name for entry in checked.others) or "none"
+    click.echo(f"{cells}: ok, cell {checked.cell}, others: {names}")
+    click.echo(f"  grants of {checked.grant_s:g} s")
+
+
 @main.command("check-policy")
 @click.argument("policy", type=file_argument)
 def check_policy(policy: Path) -> None:
@@ -139,6 +162,49 @@
         click.echo(f"  without this version: {older}; jobs with prerequisites have to wait")
 
 
+@main.command()
+@node_option
+def cells(node: str) -> None:
+    """Show the other cells: reachability, jobs away and guests here, waits. Ask the leader."""
+    from coursefold.client import RefusedError, condition
+
+    try:
+        answer = condition(node)
+    except RefusedError as wrong:
+        _fail(wrong, 1)
+    found = answer.get("cells")
+    if found is None:
+        click.echo(f"{node}: no cells; it was started without a file of them")
+        return
+    draining = ", draining" if found["draining"] else ""
+    click.echo(f"{node}: cell {found['cell']}{draining}, {_waits(found['waits'])}")
+    if not found["on"]:
+        click.echo(f"  not in charge: ask the leader, {answer.get('leader') or 'unknown'}")
+        return
+    for other in found["others"]:
+        state = "reachable" if other["reachable"] else "not reachable"
+        heard = "never heard" if other["heard_s"] is None else f"heard {other['heard_s']:g} s ago"
+        click.echo(f"  {other['cell']}: {state}, {heard}, leader {other['leader'] or 'unknown'}")
+        click.echo(
+            f"    {other['offered']} offered, {other['away']} of our jobs there, "
+            f"{other['guests']} guests of it here, {other['free_slots']:g} slots free for us"
+        )
+        if other["waits"]:
+            click.echo(f"    {_waits(other['waits'])}")
+    for side in ("home", "guest"):
+        counts = ", ".join(f"{count} {what}" for what, count in sorted(found[side].items()))
+        click.echo(f"  as {side}: {counts or 'nothing yet'}")
+
+
+def _waits(waits: dict[str, Any]) -> str:
+    if not waits["jobs"]:
+        return "no job has waited yet"
+    return (
+        f"waits of {waits['jobs']} jobs: median {waits['median']:.1f} s, "
+        f"90% {waits['p90']:.1f} s, 99% {waits['p99']:.1f} s"
+    )
+
+
 @main.command()
 @click.argument("description", type=file_argument)
 @node_option
--- a/coursefold/coordination/cancellations.py
+++ b/coursefold/coordination/cancellations.py
@@ -119,8 +119,10 @@
 
 
 def is_off(ctx: Context, name: JobId) -> bool:
-    """Is the job cancelled, by our records or by a sibling's word?"""
+    """Is the job cancelled, by our records or by a sibling's word, or its grant over?"""
     job = ctx.view.jobs.get(name)
     if job is not None and job.status == records.CANCELLED:
         return True
+    if ctx.grants.is_over(job, ctx.now, ctx.wall):
+        return True
     return ctx.handed.get(name, 0) > ctx.view.ledger
--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -1,6 +1,7 @@
 """What every part of the core shares: settings, the view, time, and the outbox."""
 
 from coursefold.coordination.effects import Effect
+from coursefold.coordination.grants import GrantClock
 from coursefold.coordination.parts import owner
 from coursefold.coordination.placement import Market, Room
 from coursefold.policy import Policy
@@ -108,6 +109,7 @@
     ) -> None:
         self.policy = policy or Policy()
         self.settings, self.view, self.queue = settings, view, queue
+        self.grants = GrantClock(view)
         self.me = Member(settings.member)
         self.now, self.wall = Moment(0.0), WallTime(0.0)
         self.started: Moment | None = None
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections.abc import Iterable
 from itertools import islice
 from typing import Any
 
@@ -16,6 +17,7 @@
 from coursefold.coordination.context import Context
 from coursefold.coordination.effects import Answer, Effect, Read, Tell, Vouch
 from coursefold.coordination.election import Election
+from coursefold.coordination.extension import Extension
 from coursefold.coordination.fleet import Fleet
 from coursefold.coordination.forward import Forwarding
 from coursefold.coordination.leader import Leader
@@ -23,11 +25,13 @@
 from coursefold.coordination.placement import fits_type
 from coursefold.coordination.quota import limit_fits
 from coursefold.coordination.upgrade import Upgrade
+from coursefold.coordination.whereabouts import away_reason
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, Moment, WallTime, is_job_id
 from coursefold.protocol.wire import Job, MalformedError, decode_job, decode_report
 from coursefold.settings import Settings
 from coursefold.storage import records
+from coursefold.storage.cell_records import AwayStage
 from coursefold.storage.queue import FIRST, LATER, CommitQueue, Edit, Limits
 from coursefold.storage.records import Ending, JobRecord, job_key
 from coursefold.storage.view import View
@@ -71,6 +75,7 @@
         self.owner = Owner(self.ctx, self.election, self.forwarding.edit)
         self.leader = Leader(self.ctx, self.owner)
         self.fleet = Fleet(self.ctx, self.leader)
+        self.extensions: list[Extension] = []
         self.asking: dict[int, tuple[str, str, Job | None]] = {}
         self.questions: list[int] = []
         self.was_leading = False
@@ -81,6 +86,7 @@
         """Set the time of the inputs that follow."""
         ctx = self.ctx
         ctx.now, ctx.wall = now, wall
+        ctx.grants.observe(now)
         self.queue.wall = wall
         if ctx.started is None:
             ctx.started = now
@@ -111,6 +117,8 @@
         self.owner.tick()
         self.leader.tick()
         self.fleet.tick()
+        for extension in self.extensions:
+            extension.tick()
         self._sweep()
         leading = ctx.leading()
         if leading != self.was_leading:
@@ -143,6 +151,11 @@
             self.asking[self.resolving] = ("resolve", need, None)
             self.ctx.out.append(Read(self.resolving, need))
 
+    def stop_tasks(self, names: Iterable[JobId]) -> None:
+        """Have our workers stop these jobs' tasks now, also while we may decide nothing else."""
+        self.ctx.handed_now.extend(names)
+        self.owner.stop_handed()
+
     def linked(self, member: str) -> None:
         """A new connection to a sibling."""
         self.tellers[member].begin()
@@ -189,7 +202,7 @@
     def condition(self) -> dict[str, Any]:
         """What an operator asks of one node: is it well, and who has which version?"""
         roster = self.view.roster
-        return {
+        condition: dict[str, Any] = {
             "ok": self.healthy(),
             "version": __version__,
             "leader": roster.leader if roster else None,
@@ -197,6 +210,9 @@
             "switched": self.view.level >= records.OURS,
             "older": self.upgrade.waits_for() if self.view.loaded else None,
         }
+        for extension in self.extensions:
+            condition |= extension.condition()
+        return condition
 
     def state_silent(self) -> bool:
         return self.ctx.now - self.ctx.state_ok_at > STATE_SILENCE_S
@@ -369,7 +385,7 @@
         if not self.view.loaded or self.state_silent():
             self._later(ticket, "no state service", 2)
             return
-        if JobId(job) in self.view.jobs:
+        if JobId(job) in self.view.jobs and JobId(job) not in self.view.guests:
             self._cancel(job, ticket)
         else:
             self._ask(ticket, "cancel", job, None)
@@ -406,6 +422,9 @@
         if found is None:
             self._unknown(ticket, what, spec)
             return
+        if isinstance(found, JobRecord) and found.guest is not None:
+            self._not_ours(ticket, what, found.guest.home)
+            return
         if isinstance(found, Ending):
             done = found.tasks if found.status == records.DONE else 0
             body: dict[str, Any] = {
@@ -428,6 +447,13 @@
             return
         self.ctx.out.append(Answer(ticket, 200, self.describe(name, found)))
 
+    def _not_ours(self, ticket: int, what: str, home: str) -> None:
+        """The job is here for another cell, which alone answers its user."""
+        if what == "submit":
+            self._later(ticket, f"the id is in use by a job of cell {home}", 5)
+        else:
+            self.ctx.out.append(Answer(ticket, 404, {"error": f"a job of cell {home}: ask there"}))
+
     def _unknown(self, ticket: int, what: str, spec: Job | None) -> None:
         if what == "submit" and spec is not None:
             never = self._never(spec)
@@ -444,7 +470,7 @@
         """A live job's state as its user sees it."""
         running = sum(1 for e in job.entries if e.stage != records.DEALT)
         status = records.STATUS[job.status]
-        if job.status == records.LIVE and running:
+        if job.status == records.LIVE and (running or self._runs_elsewhere(job)):
             status = "running"
         if self.view.needs.is_doomed(JobId(name)):
             # It follows from what it needs; its own ending is written when there is time.
@@ -460,6 +486,10 @@
             body["why"] = reason
         return body
 
+    @staticmethod
+    def _runs_elsewhere(job: JobRecord) -> bool:
+        return job.away is not None and job.away.stage == AwayStage.RUNNING
+
     def _undecided(self, name: JobId, found: JobRecord) -> bool:
         """Needs the job one that has ended, and we do not know how?
 
@@ -476,6 +506,18 @@
         if left:
             more = f" and {len(left) - NAMED} more" if len(left) > NAMED else ""
             return f"waiting for {', '.join(islice(left, NAMED))}{more} to be done"
+        away = self.view.away.get(JobId(name))
+        if away is not None and away.away is not None:
+            return away_reason(away.away, ctx.wall)
+        reason = self._leaders_reason(name)
+        job = self.view.jobs.get(JobId(name))
+        if reason and job is not None and job.away is not None:
+            return f"{reason}; {away_reason(job.away, ctx.wall)}"
+        return reason
+
+    def _leaders_reason(self, name: str) -> str:
+        """The leader's word, here or as it told us."""
+        ctx = self.ctx
         if ctx.leading():
             return self.leader.reasons.get(JobId(name), "")
         roster = self.view.roster
--- /dev/null
+++ b/coursefold/coordination/extension.py
@@ -0,0 +1,13 @@
+"""What a controller's core lets a subsystem beside it do."""
+
+from typing import Any, Protocol
+
+
+class Extension(Protocol):
+    """A subsystem that decides in the core's rounds. No I/O: like the core, it leaves effects."""
+
+    def tick(self) -> None:
+        """Decide; called in each round, after the core's own parts."""
+
+    def condition(self) -> dict[str, Any]:
+        """What the controller's condition says of it, by name."""
--- a/coursefold/coordination/jobs.py
+++ b/coursefold/coordination/jobs.py
@@ -13,6 +13,7 @@
 
 from coursefold.protocol.wire import Job
 from coursefold.storage import records
+from coursefold.storage.cell_records import AwayStage, Guest, GuestStage
 from coursefold.storage.queue import Change, End, NotApplicableError, Result
 from coursefold.storage.records import DEALT, PLACED, STOPPING, Ending, Entry, JobRecord
 
@@ -35,6 +36,8 @@
     job = _live(record)
     if job.needs:
         raise NotApplicableError("waits for other jobs")
+    if not job.may_start:
+        raise NotApplicableError("another cell's to run, or not granted to us")
     return job
 
 
@@ -42,8 +45,14 @@
     """The record itself, or its ending when nothing of it is left to do.
 
     The ending takes the record's place, which is one change; it moves to where it
-    stays (`sweep`) when there is nothing more urgent to write.
+    stays (`sweep`) when there is nothing more urgent to write. A job that is away ends on the
+    guest cell's word or on proof; another cell's job is not ours to end, so its record says
+    what became of it until its home has confirmed that.
     """
+    if job.guest is not None:
+        return _settle_guest(job, job.guest)
+    if job.is_away:
+        return job
     if job.status == records.CANCELLED and not job.entries:
         return Ending(records.CANCELLED, job.spec.tasks)
     if job.status == records.LIVE and job.done_count >= job.spec.tasks:
@@ -51,6 +60,18 @@
     return job
 
 
+def _settle_guest(job: JobRecord, guest: Guest) -> JobRecord:
+    if job.entries or guest.stage in (GuestStage.RELEASED, GuestStage.FINISHED):
+        return job
+    if job.done_count >= job.spec.tasks:
+        stage = GuestStage.FINISHED
+    elif job.status == records.CANCELLED:
+        stage = GuestStage.RELEASED
+    else:
+        return job
+    return msgspec.structs.replace(job, guest=msgspec.structs.replace(guest, stage=stage))
+
+
 def sweep() -> Change:
     """Move an ending out of the live jobs' keys, so that a starting node need not read it."""
 
@@ -113,7 +134,13 @@
     def change(record: Struct | None) -> Result:
         job = _live(record)
         kept = [e for e in job.entries if e.stage != DEALT]
-        return settle(msgspec.structs.replace(job, status=records.CANCELLED, entries=kept))
+        away = job.away
+        if away is not None and away.stage == AwayStage.OFFERED:
+            # Nobody may start it without a grant, and there will be none.
+            away = msgspec.structs.replace(away, stage=AwayStage.HOME)
+        return settle(
+            msgspec.structs.replace(job, status=records.CANCELLED, entries=kept, away=away)
+        )
 
     return change
 
@@ -268,7 +295,10 @@
         if job.status == records.CANCELLED:
             return settle(msgspec.structs.replace(job, entries=kept))
         if job.spec.shape == "ensemble":
-            return Ending(records.DONE, job.spec.tasks)
+            if job.guest is None:
+                return Ending(records.DONE, job.spec.tasks)
+            whole = [(0, job.spec.tasks - 1)]
+            return settle(msgspec.structs.replace(job, entries=[], done=whole))
         done = records.add_done(job.done, index)
         return settle(msgspec.structs.replace(job, entries=kept, done=done, errors=0))
 
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -124,6 +124,9 @@
             if job.retry_at > ctx.wall:
                 self.reasons[name] = "its tasks failed; it is tried again later"
                 continue
+            if ctx.grants.is_over(job, ctx.now, ctx.wall):
+                self.reasons[name] = "its home cell's grant has ended"
+                continue
             tasks = job.spec.tasks if job.spec.shape != "array" else 1
             within = quota.within_guarantee(job.spec, tasks)
             run = self.runs.mean(job.spec, ctx.now)
--- a/coursefold/coordination/pools.py
+++ b/coursefold/coordination/pools.py
@@ -46,6 +46,7 @@
         self.runs = self.leader.runs = Runs()
         self.arrivals: dict[str, tuple[float, Job]] = {}
         self.fired: dict[PoolId, tuple[str, ...]] = {}
+        self.demands: dict[PoolId, PoolDemand] = {}  # of the last step
 
     def plan(self, catalog: Catalog, elapsed: float) -> None:
         """One step of all loops."""
@@ -63,6 +64,7 @@
         needs = self._needs()
         self._count_running(planner)
         planner.pack(needs, self._all_rooms())
+        self.demands = planner.pools
         for pool, demand in planner.pools.items():
             self._steer(pool, demand, elapsed)
 
@@ -86,7 +88,7 @@
         ctx = self.ctx
         window = self.parameters.arrivals_window
         for name, job in ctx.view.jobs.items():
-            if name in self.arrivals or ctx.view.needs.holds(name):
+            if name in self.arrivals or ctx.view.needs.holds(name) or not job.may_start:
                 continue
             since = ctx.view.since(name, job)
             if ctx.wall - since < window:
--- a/coursefold/coordination/upgrade.py
+++ b/coursefold/coordination/upgrade.py
@@ -43,11 +43,23 @@
         self.looked_at = -1e9
         self.said: list[str] | None = None
         self.unmeasured: list[str] | None = None
+        # Set before the first tick: this controller has a file of cells.
+        self.with_cells = False
+
+    @property
+    def level(self) -> int:
+        """The level of the forms that this process writes, once every controller can.
+
+        Those of cells come in only where every controller has the file; from then on they
+        are read, and kept, without it too.
+        """
+        wanted = records.WITH_CELLS if self.with_cells else records.OURS
+        return max(wanted, min(self.ctx.view.level, records.WITH_CELLS))
 
     def announce(self) -> None:
         """Write down what this process can read, in the transaction in which it joins."""
         ctx = self.ctx
-        mine = Version(records.OURS, ctx.permit)
+        mine = Version(self.level, ctx.permit)
         if not ctx.permit or ctx.view.versions.get(ctx.me) == mine:
             return
 
@@ -79,7 +91,7 @@
             name
             for name in self.names
             if (
-                self._shown(name) < records.OURS
+                self._shown(name) < self.level
                 if name in view.members
                 else name not in view.versions
             )
@@ -98,7 +110,7 @@
             self.unmeasured = None
             return
         self._forget_stale()
-        if ctx.view.level < records.OURS:
+        if ctx.view.level < self.level:
             self._switch()
         else:
             self._bring_over()
@@ -112,7 +124,7 @@
             else:
                 self.absent.setdefault(name, ctx.now)
         waits = self.waits_for()
-        if waits != self.said and ctx.view.level < records.OURS:
+        if waits != self.said and ctx.view.level < self.level:
             self.said = waits
             log.info("without this version: %s", ", ".join(waits) or "none")
 
@@ -138,18 +150,19 @@
     def _switch(self) -> None:
         ctx = self.ctx
         waits = self.waits_for()
+        level = self.level
         if any(ctx.now - self.absent.get(name, ctx.now) < GONE_S for name in waits):
             return
 
         def change(current: Struct | None) -> Result:
-            if isinstance(current, Level) and current.level >= records.OURS:
+            if isinstance(current, Level) and current.level >= level:
                 raise NotApplicableError("switched")
-            return Level(records.OURS, waits)
+            return Level(level, waits)
 
         edit = Edit(records.LEVEL, change, rank=FIRST, fence=ctx.view.token, tag="switch")
         if ctx.queue.propose(edit):
             away = f" (given up: {', '.join(waits)})" if waits else ""
-            log.info("every controller has this version%s: the new forms are written", away)
+            log.info("every controller has this version%s: forms %d are written", away, level)
 
     def _bring_over(self) -> None:
         """Bring what is stored into the new forms, a little at a time."""
--- a/coursefold/coordination/urgency.py
+++ b/coursefold/coordination/urgency.py
@@ -14,6 +14,8 @@
 from coursefold.storage.records import JobRecord
 
 FRESH_S = 10.0  # run times change slowly
+GUEST_PATIENCE_S = 120.0  # then another cell's job has its own priority here
+LEAST_URGENT = max(RANKS.values())
 
 
 class Urgent(NamedTuple):
@@ -44,10 +46,13 @@
     def rank(self, name: JobId, job: JobRecord) -> int:
         return self.of(name, job).rank
 
-    @staticmethod
-    def _own(job: JobRecord) -> Urgent:
+    def _own(self, job: JobRecord) -> Urgent:
         due = job.spec.due
-        return Urgent(RANKS[job.spec.rank], None if due is None else job.at + due)
+        rank = RANKS[job.spec.rank]
+        if job.guest is not None and self.ctx.wall - job.guest.at < GUEST_PATIENCE_S:
+            # A cell's own work goes first, but guests do not starve behind it.
+            rank = LEAST_URGENT
+        return Urgent(rank, None if due is None else job.at + due)
 
     def _along(self, first: JobId) -> Urgent:
         """Depth first without recursion: a chain may be as long as its user likes."""
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -4,7 +4,7 @@
 import logging
 import sys
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import uvloop
@@ -23,6 +23,10 @@
 from coursefold.transport.server import Server
 from coursefold.transport.state import StateClient, UnavailableError, jitter
 
+if TYPE_CHECKING:
+    from coursefold.cells.config import CellsConfig
+    from coursefold.transport.cells import CellTransport
+
 log = logging.getLogger(__name__)
 
 TICK_S = 0.25
@@ -50,7 +54,9 @@
 class Service:
     """The running controller."""
 
-    def __init__(self, settings: Settings, policy: Policy | None = None) -> None:
+    def __init__(
+        self, settings: Settings, policy: Policy | None = None, cells: "CellsConfig | None" = None
+    ) -> None:
         self.settings = settings
         self.core = Core(settings, policy)
         params = settings.params
@@ -65,6 +71,9 @@
         self.cloud = HttpClient(settings.services.cloud, connections=CLOUD_CONNECTIONS)
         self.directs = asyncio.Semaphore(DIRECTS)
         reserved = OWN_FILES + STATE_CONNECTIONS + 1 + CLOUD_CONNECTIONS + DIRECTS + 2 * nodes
+        self.cell_transport = self._open_cells(cells) if cells is not None else None
+        if self.cell_transport is not None:
+            reserved += self.cell_transport.sockets
         self.server = Server(settings.listen, self._request, params.resources.fd_limit - reserved)
         self.peer_server = PeerServer(settings.peer_listen, self._peer)
         self.links = {
@@ -79,6 +88,21 @@
         self.flying = 0
         self.permit_ready = asyncio.Event()
 
+    def _open_cells(self, config: "CellsConfig") -> "CellTransport":
+        # Their libraries take memory only where there are cells.
+        from coursefold.cells.cells import Cells
+        from coursefold.transport.cells import CellTransport
+
+        cells = Cells(config, self.core)
+
+        def take(frame: bytes, address: str) -> bool:
+            self._enter()
+            good = cells.take(frame, address)
+            self._changed()
+            return good
+
+        return CellTransport(config, cells, take)
+
     def _spawn(self, work: Any) -> None:
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
@@ -93,6 +117,8 @@
         """Until killed."""
         for link in self.links.values():
             self._spawn(link.run())
+        for link in self.cell_transport.links if self.cell_transport else ():
+            self._spawn(link.run())
         for loop in (self._lease, self._follow, self._vouch, self._commits, self._ticks):
             self._spawn(self._forever(loop))
         await asyncio.Event().wait()
@@ -195,7 +221,7 @@
     def _frame(self, member: str) -> bytes:
         return self._enter().frame(member)
 
-    def _peer(self, frame: bytes) -> bool:
+    def _peer(self, frame: bytes, address: str) -> bool:
         good = self._enter().peer(frame)
         self._flush()
         self._changed()
@@ -461,12 +487,14 @@
         self._flush()
 
 
-def run(settings: Settings, policy: Policy | None = None) -> None:
+def run(
+    settings: Settings, policy: Policy | None = None, cells: "CellsConfig | None" = None
+) -> None:
     """Start the service, or say in one line why it cannot start."""
 
     async def main() -> None:
         try:
-            service = Service(settings, policy)
+            service = Service(settings, policy, cells)
         except OSError as wrong:
             print(f"coursefold: cannot listen: {wrong}", file=sys.stderr)
             raise SystemExit(1) from None
--- a/coursefold/storage/records.py
+++ b/coursefold/storage/records.py
@@ -20,6 +20,7 @@
 
 from coursefold.protocol.ids import JobId, Key, Member
 from coursefold.protocol.wire import Catalog, Job
+from coursefold.storage.cell_records import Away, AwayStage, CellLink, Guest, GuestStage
 
 ROOT = "cf/"
 ROSTER = Key("cf/roster")
@@ -30,9 +31,11 @@
 POOLS = "cf/p/"
 VERSIONS = "cf/v/"
 PARTS = "cf/x/"
+CELL_LINKS = "cf/c/"
 LEVEL = Key("cf/level")
 TYPES = Key("cf/types")  # the machine types since the switch; `CATALOG` before it
-OURS = 1  # the level of the forms that this version can write
+OURS = 1  # the level of the forms that this version writes by itself
+WITH_CELLS = 2  # where `deploy/cells.toml` is there: jobs that are away, and guests
 
 DEALT, PLACED, STOPPING = 0, 1, 2
 LIVE, CANCELLED, DONE = 0, 1, 2
@@ -57,6 +60,10 @@
     return Key(POOLS + build)
 
 
+def cell_link_key(cell: str) -> Key:
+    return Key(CELL_LINKS + cell)
+
+
 def version_key(member: str) -> Key:
     return Key(VERSIONS + member)
 
@@ -126,6 +133,26 @@
     failed_on: list[str] = []
     needs: list[str] = []  # jobs that were not done when this one was accepted
     ready: float = 0.0  # when the last of them was done, once tasks may be dealt
+    away: Away | None = None  # where it was handed to
+    guest: Guest | None = None  # whose it is, if another cell's
+
+    @property
+    def is_away(self) -> bool:
+        """Is another cell to run it, so that nothing of it may start here?"""
+        return self.away is not None and self.away.stage != AwayStage.HOME
+
+    @property
+    def may_start(self) -> bool:
+        """May this cell start its tasks, as far as other cells go?"""
+        if self.guest is not None:
+            return self.guest.stage == GuestStage.GRANTED
+        return not self.is_away
+
+    @property
+    def counted_tasks(self) -> int:
+        """Tasks that count against the team's limit: placed here, or away and not proven gone."""
+        away = self.spec.tasks - self.done_count if self.is_away else 0
+        return len(self.entries) + away
 
     @property
     def since(self) -> float:
@@ -300,6 +327,8 @@
     failed_on: list[str] = []
     needs: list[str] = []
     ready: float = 0.0
+    away: Away | None = None
+    guest: Guest | None = None
 
 
 class _Roster(Struct, array_like=True, frozen=True):
@@ -329,7 +358,7 @@
         record = _Job(
             _plain(record.spec), record.at, record.status, record.attempt, pack(record.entries),
             record.done, record.errors, record.retry_at, record.failed_on, record.needs,
-            record.ready,
+            record.ready, record.away, record.guest,
         )  # fmt: skip
     elif isinstance(record, Roster) and level:
         record = _Roster(level, record.leader, record.members)
@@ -347,6 +376,7 @@
     MEMBERS: MemberRecord,
     POOLS: PoolRecord,
     VERSIONS: Version,
+    CELL_LINKS: CellLink,
 }
 
 
@@ -370,7 +400,7 @@
                 return JobRecord(
                     _rich(record.spec), record.at, record.status, record.attempt,
                     unpack(record.entries), record.done, record.errors, record.retry_at,
-                    record.failed_on, record.needs, record.ready,
+                    record.failed_on, record.needs, record.ready, record.away, record.guest,
                 )  # fmt: skip
             return record
     return None
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -13,6 +13,7 @@
 from coursefold.protocol.ids import JobId, Stamp
 from coursefold.protocol.wire import RANKS, Catalog, Job
 from coursefold.storage import records
+from coursefold.storage.cell_records import CellLink
 from coursefold.storage.needs import Needs
 from coursefold.storage.records import (
     Ending,
@@ -81,6 +82,9 @@
         self.level = 0  # the forms that all controllers read
         self.given_up: list[str] = []  # but for these, if they come back
         self.versions: dict[str, Version] = {}
+        self.links: dict[str, CellLink] = {}  # by the other cell's name
+        self.away: dict[JobId, JobRecord] = {}  # our jobs that other cells have
+        self.guests: dict[JobId, JobRecord] = {}  # other cells' jobs here
         self.needs = Needs()
         self.unreadable: set[str] = set()
         # Records laid over several keys: how many parts each has, parts whose head has
@@ -185,7 +189,7 @@
 
     def _queue(self, name: JobId, job: JobRecord) -> None:
         """Does the job have tasks to deal?"""
-        live = job.status == records.LIVE and job.waiting_count > 0
+        live = job.status == records.LIVE and job.may_start and job.waiting_count > 0
         if live and not self.needs.holds(name):
             self.waiting[name] = job
         else:
@@ -200,7 +204,7 @@
         if self.needs.is_doomed(name):
             return records.CANCELLED
         if (job := self.jobs.get(name)) is not None:
-            return job.status
+            return job.status if job.guest is None else None
         held = self.held.get(records.job_key(name))
         if held is not None and isinstance(held.record, Ending):
             return held.record.status
@@ -226,6 +230,8 @@
             self.given_up = record.given_up
         elif isinstance(record, Version):
             self.versions[key.removeprefix(records.VERSIONS)] = record
+        elif isinstance(record, CellLink):
+            self.links[key.removeprefix(records.CELL_LINKS)] = record
         if isinstance(record, JobRecord):
             name = JobId(key.removeprefix(records.JOBS))
             before = self.jobs.get(name)
@@ -251,6 +257,7 @@
                 self._revive(self.needs.add(name, after.needs, self._how(after.needs)))
         elif before is not None and before.needs:
             self.needs.remove(name)
+        self._index_cells(name, after)
         if after is not None and after.status == records.CANCELLED:
             self.cancelled[name] = None
         else:
@@ -274,10 +281,22 @@
                 elif status_changed:
                     self.moved[entry.machine] = None
         known = after or before
-        if known is not None and len(old) != len(new):
+        more = (after.counted_tasks if after else 0) - (before.counted_tasks if before else 0)
+        if known is not None and more:
             used = self.usage.setdefault(known.spec.team, [0.0, 0.0])
-            used[0] += known.spec.cpus * (len(new) - len(old))
-            used[1] += known.spec.gpus * (len(new) - len(old))
+            used[0] += known.spec.cpus * more
+            used[1] += known.spec.gpus * more
+
+    def _index_cells(self, name: JobId, job: JobRecord | None) -> None:
+        """Is the job away, or another cell's?"""
+        if job is not None and job.is_away:
+            self.away[name] = job
+        else:
+            self.away.pop(name, None)
+        if job is not None and job.guest is not None:
+            self.guests[name] = job
+        else:
+            self.guests.pop(name, None)
 
     def _how(self, needs: list[str]) -> dict[JobId, tuple[int, float]]:
         """Of the jobs that one needs, those that are over, and when."""
@@ -353,6 +372,8 @@
             self.pools.pop(key.removeprefix(records.POOLS), None)
         elif isinstance(known.record, Version):
             self.versions.pop(key.removeprefix(records.VERSIONS), None)
+        elif isinstance(known.record, CellLink):
+            self.links.pop(key.removeprefix(records.CELL_LINKS), None)
         return True
 
     def on_machine(self, machine: str) -> list[tuple[JobId, Entry]]:
--- a/coursefold/transport/peers.py
+++ b/coursefold/transport/peers.py
@@ -21,17 +21,30 @@
 STEADY_S = 5.0
 GATHER_S = 0.05  # what comes within it goes into one frame
 
+# Takes a frame and the address that it comes from; False if the connection should end.
+FrameHandler = Callable[[bytes, str], bool]
+
+
+def _anybody(address: str) -> bool:
+    return True
+
 
 class PeerServer(TCPServer):
-    """Takes siblings' frames; a length out of bounds ends the connection."""
+    """Takes frames; a length out of bounds ends the connection."""
 
-    def __init__(self, listen: str, take: Callable[[bytes], bool]) -> None:
+    def __init__(
+        self, listen: str, take: FrameHandler, allows: Callable[[str], bool] = _anybody
+    ) -> None:
         super().__init__(max_buffer_size=2 * FRAME_LIMIT)
-        self.take = take
+        self.take, self.allows = take, allows
         host, port = split_address(listen)
         self.listen(port, host)
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        if not self.allows(address[0]):
+            log.error("connection from %s refused: in no allowed network", address[0])
+            stream.close()
+            return
         try:
             while True:
                 async with asyncio.timeout(IDLE_S):
@@ -41,7 +54,7 @@
                         log.error("peer frame of %d bytes from %s dropped", length, address[0])
                         break
                     frame = await stream.read_bytes(length)
-                if not self.take(frame):
+                if not self.take(frame, address[0]):
                     break  # the sibling connects again, and says everything anew
         except (StreamClosedError, TimeoutError, OSError):
             pass
@@ -50,7 +63,7 @@
 
 
 class PeerLink:
-    """Our connection to one sibling."""
+    """Our connection to one other controller."""
 
     def __init__(
         self,
@@ -59,9 +72,11 @@
         begin: Callable[[str], None],
         frame: Callable[[str], bytes],
         period: float,
+        source: str | None = None,
     ) -> None:
         self.member, self.begin, self.frame, self.period = member, begin, frame, period
         self.host, self.port = split_address(address)
+        self.source = source  # our own address, where the other side goes by it
         self.wake = asyncio.Event()
 
     async def run(self) -> None:
@@ -71,7 +86,7 @@
             began = time.monotonic()
             try:
                 async with asyncio.timeout(STUCK_S):
-                    stream = await TCPClient().connect(self.host, self.port)
+                    stream = await TCPClient().connect(self.host, self.port, source_ip=self.source)
                 stream.set_nodelay(True)
                 stream.set_close_callback(self.wake.set)
                 try:
--- /dev/null
+++ b/tests/test_cells_input.py
@@ -0,0 +1,554 @@
+"""Cells: bad files, bad frames, and the decisions one by one."""
+
+import math
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from coursefold.cells import edits
+from coursefold.cells.cells import Cells
+from coursefold.cells.config import CellsConfig, load_cells, longest_grant
+from coursefold.cells.directory import Directory
+from coursefold.cells.estimate import Pools, pool_wait
+from coursefold.cells.messages import (
+    BadFrameError,
+    Frame,
+    GuestState,
+    Handle,
+    Offer,
+    PoolState,
+    Refusal,
+    dump_frame,
+    read_frame,
+)
+from coursefold.cells.policy import Candidate, Target, choose, cost_s
+from coursefold.cells.waits import LEAST_SAMPLES, WaitLog, read_summary
+from coursefold.cli import main
+from coursefold.coordination.grants import GrantClock
+from coursefold.protocol import cell_pb2
+from coursefold.protocol.ids import JobId, Moment, WallTime
+from coursefold.protocol.wire import Catalog, Job, decode, encode
+from coursefold.settings import Settings, SettingsError, load
+from coursefold.storage import records
+from coursefold.storage.cell_records import (
+    Away,
+    AwayStage,
+    CellLink,
+    Guest,
+    GuestStage,
+)
+from coursefold.storage.queue import NotApplicableError, Remove
+from coursefold.storage.records import Ending, Entry, JobRecord
+from coursefold.storage.view import View
+from tests.cells_world import cells_file
+from tests.test_settings import GOOD
+from tests.world import CATALOG, EPOCH, JOB, SETTINGS, World
+
+KIND = decode(encode(CATALOG), Catalog).builds[0]
+NAME = JobId("job-1")
+HANDLE = Handle(NAME, 1, "9-1")
+
+FILE = """
+cell = "galway"
+grant_s = 12.0
+[[cells]]
+name = "galway"
+controllers = { n0 = "10.1.0.1:7000", n1 = "10.1.0.2:7000" }
+networks = ["10.1.0.0/16"]
+[[cells]]
+name = "dublin"
+controllers = { n0 = "10.2.0.1:7000" }
+networks = ["10.2.0.0/16", "2001:db8::/64"]
+"""
+
+
+def spec(**fields: Any) -> Job:
+    return decode(encode(JOB | {"NameId": NAME} | fields), Job)
+
+
+def pool(**fields: Any) -> PoolState:
+    return PoolState(KIND, False, 0.0007, 10.0, 0.0, 0.5, 0.0, 0.0)._replace(**fields)
+
+
+def frame(**fields: Any) -> Frame:
+    plain = Frame("east", "n0", 5, 1, EPOCH, 10.0, 40.0)
+    return plain._replace(**fields)
+
+
+# The file
+
+
+def settings_file(tmp_path: Path) -> Path:
+    file = tmp_path / "settings.toml"
+    file.write_text(GOOD)
+    return file
+
+
+def test_a_good_file_is_taken(tmp_path: Path) -> None:
+    settings = load(settings_file(tmp_path))
+    file = tmp_path / "cells.toml"
+    file.write_text(FILE)
+    config = load_cells(file, settings)
+    assert [entry.name for entry in config.others] == ["dublin"]
+    assert config.listen == "10.1.0.1:7000"
+    assert config.allows("dublin", "10.2.3.4")
+    assert config.allows("dublin", "2001:db8::7")
+    assert not config.allows("dublin", "10.1.0.1")
+    assert not config.allows("galway", "10.1.0.1")  # ourselves
+    assert config.allows_any("10.2.3.4")
+    assert not config.allows_any("10.3.0.1")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "what"),
+    [
+        ('cell = "galway"', 'cell = "cork"', "cells: the own cell 'cork' is not among them"),
+        ('"10.2.0.1:7000"', '"10.1.0.2:7000"', "is in cell galway already"),
+        ('"10.2.0.0/16", "2001', '"10.1.128.0/17", "2001', "cells[1].networks: overlap"),
+        ('"10.2.0.0/16", "2001', '"10.2.0.0/99", "2001', "cells[1].networks[0]"),
+        ('networks = ["10.1.0.0/16"]', "networks = []", "cells[0].networks: none is named"),
+        ('{ n0 = "10.2.0.1:7000" }', "{}", "cells[1].controllers: none is named"),
+        ('"10.2.0.1:7000"', '"10.2.0.1"', "cells[1].controllers.n0: '10.2.0.1' is not HOST:PORT"),
+        ('n0 = "10.1.0.1:7000", ', "", "cells[0].controllers: n0 lacks"),
+        ('name = "dublin"', 'name = "galway"', "names are not all different"),
+        ('name = "dublin"', 'name = "Dublin!"', "cells[1].name"),
+        ("grant_s = 12.0", "grant_s = 29.9", "grant_s: must be"),
+        ("grant_s = 12.0", "grant_s = 0", "grant_s: Expected `float` > 0.0"),
+        ("grant_s = 12.0", "guests = { jobs = 0 }", "guests.jobs: Expected `int` >= 1"),
+        ("grant_s = 12.0", "guests = { share = 0 }", "guests.share"),
+        ("grant_s = 12.0", "spill = { offers = 0 }", "spill.offers"),
+        ("grant_s = 12.0", "spil = {}", "unknown field `spil`"),
+        ("grant_s = 12.0", "grant_s = ", "not TOML"),
+    ],
+)
+def test_a_wrong_file_ends_the_start_with_one_line(
+    tmp_path: Path, old: str, new: str, what: str
+) -> None:
+    assert old in FILE
+    file = tmp_path / "cells.toml"
+    file.write_text(FILE.replace(old, new, 1))
+    config = str(settings_file(tmp_path))
+    runner = CliRunner()
+    for words in (["check-cells", str(file)], ["serve", "--cells", str(file)]):
+        result = runner.invoke(main, [*words, "--config", config])
+        assert result.exit_code == 2
+        assert what in result.output
+        assert result.output.count("\n") == 1
+
+
+def test_settings_under_which_no_grant_is_short_enough_are_refused(tmp_path: Path) -> None:
+    """A cancellation could not hold in a cell that cannot be reached."""
+    file = tmp_path / "cells.toml"
+    file.write_text(FILE.replace("grant_s = 12.0", ""))
+    good = load(settings_file(tmp_path))
+    params = msgspec.structs.replace(good.params, skew_ms=20_000.0)
+    with pytest.raises(SettingsError, match="cancel_s: too short for any grant"):
+        load_cells(file, msgspec.structs.replace(good, params=params))
+    assert longest_grant(good, lease_s=39.5) < 0
+
+
+# Frames
+
+
+def full_frame() -> Frame:
+    offer = Offer(HANDLE._replace(reservation=""), spec(Pieces=9), EPOCH, 3, [(0, 1), (4, 4)], 60.0)
+    guest = GuestState(HANDLE, GuestStage.RELEASED, 0, [(0, 3)], 7)
+    return frame(
+        until=EPOCH + 12.0, grant_s=12.0, offers=(offer,), grants=(HANDLE,), revoked=(HANDLE,),
+        closed=(HANDLE,), held_until=EPOCH, guests=(guest,),
+        refusals=(Refusal(HANDLE._replace(reservation=""), "full"),),
+        pools=(pool(),), waits=b"", draining=True,
+    )  # fmt: skip
+
+
+def test_a_frame_is_read_as_it_was_written() -> None:
+    read = read_frame(dump_frame(full_frame()))
+    kept = msgspec.structs.replace(KIND, price=0.0, spot_price=0.0, cache_gb=0.0)
+    assert read == full_frame()._replace(pools=(pool(kind=kept),))
+
+
+def broken(change: Any) -> bytes:
+    body = cell_pb2.CellFrame.FromString(dump_frame(full_frame()))
+    change(body)
+    return bytes(body.SerializeToString())
+
+
+def setter(path: str, value: Any) -> Any:
+    """Sets one field of a frame, or of the first item of one of its lists."""
+
+    def change(body: Any) -> None:
+        *inner, last = path.split(".")
+        for name in inner:
+            body = getattr(body, name)
+            body = body[0] if hasattr(body, "__len__") else body
+        setattr(body, last, value)
+
+    return change
+
+
+BAD: list[tuple[str, Any]] = [
+    ("version", 2),
+    ("sent_at", math.nan),
+    ("lease_s", -1.0),
+    ("cancel_s", 1e9),
+    ("until", math.inf),
+    ("held_until", -5.0),
+    ("offers.handle.job", "no job"),
+    ("offers.handle.epoch", 0),
+    ("offers.handle.epoch", 1 << 60),
+    ("offers.spec", b"\xc1"),
+    ("offers.spec", encode(JOB | {"NameId": "job-2"})),
+    ("offers.spec", encode(JOB | {"NameId": NAME, "Shape": "standing"})),
+    ("offers.expected_s", math.nan),
+    ("offers.done.high", 100),
+    ("grants.reservation", ""),
+    ("grants.reservation", "x" * 1000),
+    ("guests.stage", 9),
+    ("guests.handle.reservation", ""),
+    ("pools.build", ""),
+    ("pools.free", -1.0),
+    ("pools.drain", math.inf),
+]
+
+
+@pytest.mark.parametrize(("path", "value"), BAD)
+def test_what_no_cell_would_say_is_dropped_whole(path: str, value: Any) -> None:
+    with pytest.raises(BadFrameError):
+        read_frame(broken(setter(path, value)))
+
+
+@pytest.mark.parametrize("raw", [b"", b"\xff" * 50, dump_frame(full_frame())[:-3]])
+def test_truncated_and_unreadable_frames_are_dropped(raw: bytes) -> None:
+    with pytest.raises(BadFrameError):
+        read_frame(raw)
+
+
+def config(cell: str = "north") -> CellsConfig:
+    return CellsConfig(cells_file(cell), msgspec.convert(SETTINGS, Settings))
+
+
+def directory() -> Directory:
+    world = World()
+    world.enter()
+    found = Directory(config(), world.core.ctx)
+    world.core.ctx.wall = WallTime(EPOCH)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("fields", "address"),
+    [
+        ({"cell": "south"}, "127.0.1.1"),
+        ({"cell": "north"}, "127.0.2.1"),  # ourselves
+        ({}, "127.0.2.1"),  # the network of another cell
+        ({}, "10.0.0.1"),
+        ({"member": "n9"}, "127.0.1.1"),
+        ({"sent_at": EPOCH - 3600.0}, "127.0.1.1"),
+        ({"sent_at": EPOCH + 60.0}, "127.0.1.1"),
+    ],
+)
+def test_a_frame_from_elsewhere_or_another_time_leaves_one_log_line(
+    fields: dict[str, Any], address: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    found = directory()
+    assert found.take(dump_frame(frame(**fields)), address) is None
+    assert all(cell.frame is None for cell in found.cells.values())
+    assert len([r for r in caplog.records if r.levelname == "ERROR"]) == 1
+
+
+def test_late_and_repeated_frames_are_known_by_their_numbers() -> None:
+    found = directory()
+    for token, seq, taken in ((5, 7, True), (5, 7, False), (5, 6, False), (4, 99, False)):
+        raw = dump_frame(frame(token=token, seq=seq))
+        assert (found.take(raw, "127.0.1.1") is not None) is taken
+    assert found.take(dump_frame(frame(token=6, seq=1)), "127.0.1.1") is not None
+
+
+def test_frames_go_to_the_leader_and_to_all_while_none_is_known() -> None:
+    found = directory()
+    assert all(found.speaks_to("east", member) for member in ("n0", "n1", "n2"))
+    found.take(dump_frame(frame(member="n1")), "127.0.1.1")
+    assert [found.speaks_to("east", m) for m in ("n0", "n1", "n2")] == [False, True, False]
+    found.ctx.now = Moment(found.ctx.now + 2.5)
+    assert all(found.speaks_to("east", member) for member in ("n0", "n1", "n2"))
+
+
+# Edits
+
+
+def away_job(stage: AwayStage, **fields: Any) -> JobRecord:
+    away = Away("north", 1, stage, EPOCH, "" if stage == AwayStage.OFFERED else "9-1")
+    return JobRecord(spec(Pieces=4), EPOCH, away=away, **fields)
+
+
+def guest_job(stage: GuestStage, **fields: Any) -> JobRecord:
+    return JobRecord(spec(Pieces=4), EPOCH, guest=Guest("east", 1, "9-1", stage, EPOCH), **fields)
+
+
+OTHERS = [Handle(NAME, 2, "9-1"), Handle(NAME, 1, "9-2"), Handle(NAME, 7, "x")]
+
+
+@pytest.mark.parametrize("handle", OTHERS)
+def test_a_word_under_another_epoch_or_reservation_changes_nothing(handle: Handle) -> None:
+    told = GuestState(handle, GuestStage.RELEASED, 0, [], 0)
+    for change in (
+        edits.take_back("north", handle, EPOCH, "", told),
+        edits.finish("north", handle),
+        edits.mark_running("north", handle, EPOCH),
+    ):
+        with pytest.raises(NotApplicableError):
+            change(away_job(AwayStage.GRANTED))
+    for change in (
+        edits.accept_grant("east", handle, EPOCH),
+        edits.revoke("east", handle),
+        edits.forget("east", handle),
+    ):
+        with pytest.raises(NotApplicableError):
+            change(guest_job(GuestStage.RESERVED))
+
+
+def test_an_epoch_only_rises_and_a_job_is_offered_once_at_a_time() -> None:
+    first = edits.offer(Away("north", 1, AwayStage.OFFERED, EPOCH), 0.0)
+    record = first(JobRecord(spec(), EPOCH))
+    assert isinstance(record, JobRecord)
+    assert record.is_away
+    for epoch in (1, 2):
+        with pytest.raises(NotApplicableError):
+            edits.offer(Away("west", epoch, AwayStage.OFFERED, EPOCH), 0.0)(record)
+    back = edits.take_back("north", Handle(NAME, 1), EPOCH, "no answer")(record)
+    assert isinstance(back, JobRecord)
+    with pytest.raises(NotApplicableError):
+        edits.offer(Away("west", 1, AwayStage.OFFERED, EPOCH), 0.0)(back)
+    again = edits.offer(Away("west", 2, AwayStage.OFFERED, EPOCH), 0.0)(back)
+    assert isinstance(again, JobRecord)
+    # A grant that the first cell's reservation asked for comes too late.
+    with pytest.raises(NotApplicableError):
+        edits.grant("north", HANDLE, EPOCH)(again)
+
+
+def test_a_job_with_a_task_or_a_guest_is_not_offered() -> None:
+    change = edits.offer(Away("north", 1, AwayStage.OFFERED, EPOCH), 0.0)
+    placed = JobRecord(spec(), EPOCH, entries=[Entry(0, records.PLACED, 1, "n0", "a", "i-1", 1)])
+    for record in (placed, guest_job(GuestStage.GRANTED), None, Ending(records.DONE, 1)):
+        with pytest.raises(NotApplicableError):
+            change(record)
+
+
+def test_what_was_done_elsewhere_is_done() -> None:
+    told = GuestState(HANDLE, GuestStage.RELEASED, 0, [(1, 2)], 7)
+    change = edits.take_back("north", HANDLE, EPOCH, "released", told)
+    back = change(away_job(AwayStage.RUNNING, done=[(0, 0)]))
+    assert isinstance(back, JobRecord)
+    assert back.done == [(0, 2)]
+    assert back.attempt == 7
+    assert back.counted_tasks == 0
+    whole = GuestState(HANDLE, GuestStage.RELEASED, 0, [(0, 3)], 7)
+    ended = edits.take_back("north", HANDLE, EPOCH, "", whole)(away_job(AwayStage.RUNNING))
+    assert ended == Ending(records.DONE, 4)
+
+
+def test_a_cancelled_job_that_is_away_ends_only_on_proof() -> None:
+    from coursefold.coordination.jobs import cancel
+
+    offered = cancel()(away_job(AwayStage.OFFERED))
+    assert offered == Ending(records.CANCELLED, 4)  # nobody may have started it
+    granted = cancel()(away_job(AwayStage.GRANTED))
+    assert isinstance(granted, JobRecord)
+    assert granted.status == records.CANCELLED
+    ended = edits.take_back("north", HANDLE, EPOCH, "lost")(granted)
+    assert ended == Ending(records.CANCELLED, 4)
+    assert edits.finish("north", HANDLE)(granted) == Ending(records.CANCELLED, 4)
+
+
+def test_a_guest_with_tasks_is_not_forgotten() -> None:
+    entries = [Entry(0, records.PLACED, 1, "n0", "a", "i-1", 1)]
+    stopping = guest_job(GuestStage.GRANTED, entries=entries)
+    with pytest.raises(NotApplicableError):
+        edits.forget("east", HANDLE)(stopping)
+    revoked = edits.revoke("east", HANDLE)(stopping)
+    assert isinstance(revoked, JobRecord)
+    assert revoked.guest is not None
+    assert revoked.guest.stage == GuestStage.GRANTED  # until its task is proven gone
+    released = edits.revoke("east", HANDLE)(guest_job(GuestStage.RESERVED))
+    assert isinstance(released, JobRecord)
+    assert released.guest is not None
+    assert released.guest.stage == GuestStage.RELEASED
+    assert edits.forget("east", HANDLE)(released) == Remove()
+
+
+def test_an_id_that_is_taken_is_not_reserved() -> None:
+    offer = full_frame().offers[0]
+    for record in (JobRecord(spec(), EPOCH), Ending(records.DONE, 1)):
+        with pytest.raises(NotApplicableError):
+            edits.reserve("east", offer, "9-2", EPOCH)(record)
+
+
+def test_grants_never_get_shorter() -> None:
+    link = CellLink(granted_until=50.0, held_until=60.0)
+    for change in (edits.extend_grant(49.0, 12.0, 10.0), edits.hold_grant(60.0, 12.0)):
+        with pytest.raises(NotApplicableError):
+            change(link)
+    longer = edits.extend_grant(55.0, 12.0, 10.0)(link)
+    assert longer == CellLink(55.0, 12.0, 10.0, 60.0, 0.0)
+
+
+# Clocks
+
+
+def clock(held_until: float, held_s: float) -> GrantClock:
+    view = View()
+    view.keep("cf/c/east", CellLink(held_until=held_until, held_s=held_s), 1)
+    found = GrantClock(view)
+    found.observe(Moment(100.0))
+    return found
+
+
+def test_a_grant_ends_by_the_time_of_day_or_by_the_steady_clock() -> None:
+    """A clock that is set back must not keep another cell's tasks running."""
+    grants = clock(EPOCH + 12.0, 12.0)
+    assert not grants.lapsed("east", Moment(105.0), WallTime(EPOCH + 5.0))
+    assert grants.lapsed("east", Moment(105.0), WallTime(EPOCH + 12.0))
+    assert grants.lapsed("east", Moment(112.1), WallTime(EPOCH - 7200.0))
+    assert grants.lapsed("west", Moment(105.0), WallTime(EPOCH))  # never granted
+
+
+def test_a_clock_that_jumps_forwards_takes_no_job_back() -> None:
+    world = World()
+    cells = Cells(config(), world.core)
+    view = world.core.view
+    until = EPOCH + world.now + 12.0
+    view.keep("cf/c/east", CellLink(until, 12.0, 10.0), 1)
+    ctx = world.enter().ctx
+    cells.home.observe()
+    ctx.wall = WallTime(until + 7200.0)
+    assert not cells.home._is_proven_gone("east")
+    ctx.now = Moment(ctx.now + 26.0)
+    assert not cells.home._is_proven_gone("east")
+    ctx.now = Moment(ctx.now + 2.0)
+    assert cells.home._is_proven_gone("east")
+    ctx.wall = WallTime(until + 1.0)  # set back again: not before the time of day has it too
+    assert not cells.home._is_proven_gone("east")
+
+
+# Records
+
+
+def test_nothing_is_added_to_the_bytes_of_a_job_that_never_moved() -> None:
+    plain = JobRecord(spec(), EPOCH)
+    moved = msgspec.structs.replace(plain, away=Away("north", 1, AwayStage.HOME, EPOCH))
+    assert len(records.dump(plain, 1)) == 6
+    for record in (plain, moved, guest_job(GuestStage.GRANTED)):
+        key = records.job_key(NAME)
+        assert records.parse(key, records.dump(record, 2)) == record
+
+
+def test_use_counts_at_home_while_a_job_is_away() -> None:
+    view = View()
+    key = records.job_key(NAME)
+    view.keep(key, JobRecord(spec(Pieces=4), EPOCH), 1)
+    assert view.usage.get("blue", [0.0, 0.0])[1] == 0.0
+    view.keep(key, away_job(AwayStage.OFFERED), 2)
+    assert view.usage["blue"][1] == 4.0
+    assert NAME not in view.waiting
+    view.keep(key, away_job(AwayStage.RUNNING, status=records.CANCELLED), 3)
+    assert view.usage["blue"][1] == 4.0  # until it is proven gone
+    view.keep(key, away_job(AwayStage.HOME), 4)
+    assert view.usage["blue"][1] == 0.0
+    assert NAME in view.waiting
+
+
+def test_a_guest_is_not_a_job_that_others_may_need() -> None:
+    view = View()
+    view.keep(records.job_key(NAME), guest_job(GuestStage.GRANTED), 1)
+    assert view.fate(NAME) is None
+
+
+# Policy
+
+
+def candidate(**fields: Any) -> Candidate:
+    return Candidate(NAME, spec(ImageGb=5.0), 1, 100.0, 60.0, 0.0007, None)._replace(**fields)
+
+
+def chosen(item: Candidate, *pools: PoolState, room: int = 8) -> list[str]:
+    target = {"dublin": Target(Pools(pools), room)}
+    return [choice.why for choice in choose([item], target, config().spill, 0.0005)]
+
+
+def test_a_job_moves_only_for_more_than_the_move_costs() -> None:
+    assert chosen(candidate(), pool())
+    # Three seconds for the handover, ten for the image, and twenty that operators ask for.
+    assert chosen(candidate(here_s=33.5), pool())
+    assert not chosen(candidate(here_s=32.5), pool())
+    assert not chosen(candidate(), pool(free=0.0, drain=0.0))
+    assert not chosen(candidate(), pool(), room=0)
+
+
+def test_a_dearer_slot_has_to_be_worth_it() -> None:
+    dear = pool(price=0.0017)
+    assert cost_s(candidate(), Pools([dear]), 0, 0.0005) == pytest.approx(13 + 120, rel=0.01)
+    assert not chosen(candidate(), dear)
+    assert chosen(candidate(here_s=160.0), dear)
+
+
+def test_a_deadline_that_is_missed_here_and_met_there_decides() -> None:
+    short = candidate(here_s=25.0, due_in_s=80.0)
+    assert chosen(short, pool()) == ["its deadline would be missed here"]
+    assert not chosen(candidate(here_s=25.0, due_in_s=200.0), pool())
+    assert not chosen(candidate(here_s=25.0, due_in_s=50.0), pool())  # missed there too
+    assert not chosen(candidate(here_s=10.0, due_in_s=65.0), pool())  # the move costs more
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"Site": "elsewhere"}, {"Builds": ["other"]}, {"Vcpus": 99.0}],
+)
+def test_a_job_tied_to_what_is_not_there_stays(fields: dict[str, Any]) -> None:
+    assert not chosen(candidate(spec=spec(**fields)), pool())
+
+
+def test_what_is_offered_fills_the_room_that_was_told() -> None:
+    jobs = [candidate(name=JobId(f"job-{n}"), tasks=4) for n in range(9)]
+    target = {"dublin": Target(Pools([pool(drain=0.0)]), 8)}
+    assert len(choose(jobs, target, config().spill, 0.0005)) == 2  # ten slots, four each
+
+
+def test_expected_waits() -> None:
+    one = spec(Accelerators=2.0)
+    assert pool_wait(one, 4, pool()) == 0.0
+    assert pool_wait(one, 4, pool(free=2.0)) == pytest.approx(12.0)
+    assert pool_wait(one, 4, pool(free=0.0, ahead=10.0)) == pytest.approx(36.0)
+    booting = pool(free=0.0, ahead=10.0, growth=100.0)
+    assert pool_wait(one, 4, booting) == pytest.approx(26.0)
+    assert pool_wait(one, 4, booting._replace(growth=10.0)) == pytest.approx(36.0)
+
+
+# Measured waits
+
+
+def test_the_model_is_corrected_by_what_was_measured() -> None:
+    view = View()
+    log = WaitLog(view)
+    for number in range(LEAST_SAMPLES):
+        name = JobId(f"job-{number}")
+        view.keep(records.job_key(name), JobRecord(spec(NameId=name), EPOCH), number + 1)
+        log.expect(name, 9.0)
+        log.expect(name, 900.0)  # only the first word counts
+        entry = Entry(0, records.PLACED, 1, "n0", "a", "i-1", 1)
+        started = JobRecord(spec(NameId=name), EPOCH, entries=[entry])
+        view.keep(records.job_key(name), started, number + 1000)
+        assert log.factor == 1.0
+    log.look(Moment(100.0), EPOCH + 19.0)
+    assert log.factor == pytest.approx(2.0)
+    summary = read_summary(log.encoded())
+    assert summary is not None
+    assert summary.jobs == LEAST_SAMPLES
+    assert summary.median == pytest.approx(19.0, rel=0.02)
+
+
+@pytest.mark.parametrize("raw", [b"x", b"HISTFAAAAA", bytes(200)])
+def test_what_is_no_histogram_is_not_shown(raw: bytes) -> None:
+    assert read_summary(raw) is None
--- /dev/null
+++ b/tests/test_cells_loopback.py
@@ -0,0 +1,222 @@
+"""Three cells of real processes on loopback: one overloaded, another killed partway.
+
+Controllers are processes of their own; state services, clouds and workers are the stand-ins.
+Nothing is measured in seconds; it waits for what must come, up to a limit that only a fault
+reaches.
+"""
+
+import asyncio
+import copy
+import json
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from coursefold.protocol.wire import encode
+from coursefold.transport.http_client import HttpClient, NoAnswerError
+from tests.standins.servers import Cloud, cloud_app, state_app
+from tests.standins.state import StateStore
+from tests.test_loopback import free_ports
+from tests.world import JOB, SETTINGS
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT_S = 150.0
+NAMES = ("east", "north", "west")
+CONTROLLERS = 2
+MACHINES = {"east": 3, "north": 8, "west": 8}
+WORKERS = SETTINGS["params"]["workers"] | {"report_s": 0.5, "lease_s": 3.0, "cancel_s": 20.0}
+SPILL = {"after_s": 1.0, "min_gain_s": 2.0, "return_pause_s": 5.0}
+JOBS = 14
+RUN_S = 5.0
+
+
+def toml(value: Any) -> str:
+    """A value as TOML, tables inline."""
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{key} = {toml(inner)}" for key, inner in value.items()) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(toml, value)) + "]"
+    return json.dumps(value)
+
+
+def write(path: Path, table: dict[str, Any]) -> Path:
+    path.write_text("".join(f"{key} = {toml(value)}\n" for key, value in table.items()))
+    return path
+
+
+class Cell:
+    """One cell: its stand-ins in this process, its controllers in their own."""
+
+    def __init__(self, name: str, folder: Path) -> None:
+        self.name, self.folder = name, folder
+        # Users, siblings and other cells for each controller, then state service and cloud.
+        ports = free_ports(3 * CONTROLLERS + 2)
+        self.users = [f"127.0.0.1:{port}" for port in ports[:CONTROLLERS]]
+        self.siblings = [f"127.0.0.1:{port}" for port in ports[CONTROLLERS : 2 * CONTROLLERS]]
+        host = f"127.0.{NAMES.index(name) + 1}.1"
+        self.addresses = [f"{host}:{port}" for port in ports[2 * CONTROLLERS : -2]]
+        self.state, self.cloud_at = ports[-2:]
+        self.store = StateStore()
+        nodes = {f"n{at}": address for at, address in enumerate(self.users)}
+        self.cloud = Cloud(nodes, boot=0.3, run=RUN_S, store=self.store, capacity=MACHINES[name])
+        self.processes: list[subprocess.Popen[bytes]] = []
+
+    def entry(self) -> dict[str, Any]:
+        """What the other cells know of it."""
+        network = f"127.0.{NAMES.index(self.name) + 1}.0/24"
+        controllers = {f"n{at}": address for at, address in enumerate(self.addresses)}
+        return {"name": self.name, "controllers": controllers, "networks": [network]}
+
+    def settings(self, at: int) -> dict[str, Any]:
+        raw = copy.deepcopy(SETTINGS)
+        raw["params"]["workers"] = WORKERS
+        return raw | {
+            "member": f"n{at}",
+            "zone": "ab"[at % 2],
+            "listen": self.users[at],
+            "peer_listen": self.siblings[at],
+            "siblings": [
+                {"member": f"n{i}", "zone": "ab"[i % 2], "peer_addr": self.siblings[i]}
+                for i in range(CONTROLLERS)
+                if i != at
+            ],
+            "services": {
+                "state": f"127.0.0.1:{self.state}",
+                "cloud": f"127.0.0.1:{self.cloud_at}",
+            },
+        }
+
+    def start(self, cells: list["Cell"]) -> None:
+        self.apps = [
+            state_app(self.store).listen(self.state, "127.0.0.1"),
+            cloud_app(self.cloud).listen(self.cloud_at, "127.0.0.1"),
+        ]
+        table = {"cell": self.name, "grant_s": 4.0, "spill": SPILL}
+        file = write(
+            self.folder / f"{self.name}.cells.toml",
+            table | {"cells": [cell.entry() for cell in cells]},
+        )
+        for at in range(CONTROLLERS):
+            config = write(self.folder / f"{self.name}{at}.toml", self.settings(at))
+            words = ["-m", "coursefold", "serve", "--config", str(config), "--cells", str(file)]
+            log = (self.folder / f"{self.name}{at}.log").open("wb")
+            self.processes.append(subprocess.Popen([sys.executable, *words], cwd=ROOT, stderr=log))
+
+    def stop(self) -> None:
+        """Controllers, state service, cloud and machines end at once."""
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.processes.clear()
+        for app in self.apps:
+            app.stop()
+        self.apps.clear()
+        self.cloud.stop()
+
+    async def ask(self, method: str, path: str, body: Any = None, node: int = 0) -> tuple[int, Any]:
+        payload = None if body is None else encode(body)
+        try:
+            status, answer = await HttpClient(self.users[node], 1).fetch(method, path, payload, 5.0)
+        except NoAnswerError:
+            return 0, {}
+        return status, msgspec.msgpack.decode(answer)
+
+    async def until_healthy(self) -> None:
+        for node in range(CONTROLLERS):
+            while (await self.ask("GET", "/healthz", node=node))[0] != 200:
+                await asyncio.sleep(0.1)
+
+    def live(self) -> Counter[str]:
+        """Tasks that run or fetch on machines of this cell."""
+        return Counter(
+            task["Piece"]
+            for name, worker in self.cloud.workers.items()
+            for task in worker.shown()
+            if name in self.cloud.tasks and task["Status"] != "exited"
+        )
+
+
+async def watch(cells: list[Cell], seen: dict[str, set[str]]) -> None:
+    """No task is ever on two machines; note which cells each job ran in."""
+    while True:
+        total: Counter[str] = Counter()
+        for cell in cells:
+            found = cell.live()
+            total += found
+            for task in found:
+                seen.setdefault(task.partition("/")[0], set()).add(cell.name)
+        assert all(count == 1 for count in total.values()), total
+        await asyncio.sleep(0.05)
+
+
+async def poll_until_over(home: Cell, names: list[str]) -> dict[str, set[str]]:
+    """Poll as users do, at all nodes, until all jobs are done; what they were told on the way."""
+    told: dict[str, set[str]] = {name: set() for name in names}
+    open_jobs = set(names)
+    node = 0
+    while open_jobs:
+        for name in sorted(open_jobs):
+            node += 1
+            status, body = await home.ask("GET", f"/work/{name}", node=node % CONTROLLERS)
+            assert status in (200, 503), (name, status, body)
+            if status == 200:
+                assert body["Status"] in ("pending", "running", "done")
+                told[name].add(body.get("why", ""))
+                if body["Status"] == "done":
+                    open_jobs.discard(name)
+        await asyncio.sleep(0.2)
+    return told
+
+
+async def play(folder: Path) -> None:
+    cells = [Cell(name, folder) for name in NAMES]
+    home, north, _ = cells
+    seen: dict[str, set[str]] = {}
+    for cell in cells:
+        cell.start(cells)
+    watching = asyncio.ensure_future(watch(cells, seen))
+    try:
+        for cell in cells:
+            await cell.until_healthy()
+        names = [f"job-{number}" for number in range(JOBS)]
+        job = JOB | {"Pieces": 2, "Vcpus": 16.0, "Accelerators": 2.0, "ImageGb": 0.5}
+        for name in names:
+            status = 0
+            while status not in (200, 201):
+                status, _ = await home.ask("POST", "/work", job | {"NameId": name})
+                await asyncio.sleep(0.05)
+        polling = asyncio.ensure_future(poll_until_over(home, names))
+        while not north.live():
+            assert not watching.done()
+            assert not polling.done()
+            await asyncio.sleep(0.05)
+        lost = {task.partition("/")[0] for task in north.live()}
+        north.stop()
+        told = await polling
+        for name in names:
+            for node in range(CONTROLLERS):
+                status, body = await home.ask("GET", f"/work/{name}", node=node)
+                assert (status, body["Status"], body["done"]) == (200, "done", 2)
+        if watching.done():
+            watching.result()  # its failure says which task was where
+        assert lost
+        only_there = {name for name in lost if not seen.get(name, set()) - {"north"}}
+        assert not only_there  # each ran once more, in another cell
+        assert any("cell west" in why for whys in told.values() for why in whys)
+        assert any("expected wait here" in why for whys in told.values() for why in whys)
+        condition = (await home.ask("GET", "/healthz"))[1]["cells"]
+        assert {other["cell"] for other in condition["others"]} == {"north", "west"}
+        assert not watching.done()
+    finally:
+        watching.cancel()
+        for cell in cells:
+            cell.stop()
+        await asyncio.sleep(0.05)
+
+
+def test_one_cell_is_overloaded_and_another_is_killed_partway(tmp_path: Path) -> None:
+    asyncio.run(asyncio.wait_for(play(tmp_path), LIMIT_S))
