Readable code: the codec, records over several keys and the waiting queue in modules of their own

Need: storage/records.py held records, their wire forms and the laying of large ones over several keys; coordination/leader.py held the order of the queue beside dealing.

Change: storage/codec.py, storage/spreading.py, coordination/waiting.py; behaviour as before. The tests' version of production tells its codec by where it is.

--- a/coursefold/coordination/hires.py
+++ b/coursefold/coordination/hires.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.inventory import Inventory
 from coursefold.coordination.placement import Place
 from coursefold.protocol.wire import Boxes, decode
-from coursefold.storage import records
+from coursefold.storage import codec
 from coursefold.storage.edits import Edit, NotApplicableError, Result
 from coursefold.storage.records import Hire, PoolRecord, pool_key
 
@@ -163,7 +163,7 @@
             # Answered rentals are kept for a successor that the cloud's list, which
             # lags, does not tell of them; at hundreds of machines the oldest have to go.
             answered = [h for h in kept if h.machines is not None]
-            while answered and records.size(records.dump(PoolRecord(hires=kept))) > room:
+            while answered and codec.size(codec.dump(PoolRecord(hires=kept))) > room:
                 kept.remove(answered.pop(0))
             return msgspec.structs.replace(record, hires=kept)
 
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -14,11 +14,11 @@
 from coursefold.coordination import gangs, jobs, preemption
 from coursefold.coordination.context import Context
 from coursefold.coordination.demand import Runs
-from coursefold.coordination.ordering import LONG_S, Order, Ordering
+from coursefold.coordination.ordering import LONG_S
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import Picker, Place, Refused, Room, fits_type
-from coursefold.coordination.quota import Quota, limit_fits
-from coursefold.coordination.urgency import Urgency
+from coursefold.coordination.quota import Quota
+from coursefold.coordination.waiting import KEEP_S, PAUSE_S, Waiting, WaitingQueue
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
 from coursefold.storage.edits import LATER, Edit
@@ -32,8 +32,6 @@
 LEAST_DEALT = 200  # tasks of one job that may be dealt in one round
 DEALT_SHARE = 0.25  # of the machines, where that is more: rounds take longer with more of them
 PATIENT_S = 20.0  # small work leaves room to work with accelerators for so long
-KEEP_S = 75.0  # a team's limit is kept for its oldest gang so long at a time
-PAUSE_S = 20.0
 NEVER_REFUSED = 1 << 30  # tasks, more than a gang can have
 ORPHANS = 8  # endings of jobs that need a cancelled one, written at a time
 
@@ -45,19 +43,6 @@
     room: Room
 
 
-class Waiting:
-    """A job with tasks to deal, in queue order."""
-
-    __slots__ = ("age", "job", "name", "order", "rank", "slack", "within")
-
-    def __init__(
-        self, name: JobId, job: JobRecord, within: bool, order: Order, rank: int, age: float
-    ) -> None:
-        self.name, self.job, self.within, self.order = name, job, within, order
-        self.rank, self.age = rank, age
-        self.slack = order.slack
-
-
 def may_use(spec: Job, place: Place) -> bool:
     """May the job's tasks run on such machines: type, zone, spot or ordinary?"""
     return (
@@ -67,25 +52,6 @@
     )
 
 
-def merged(found: list[Waiting]) -> list[Waiting]:
-    """Gangs, the small ones first, merged with all other work by everything but size.
-
-    Seen on real processes: size compared with arrays too, so that every new array
-    went before an older gang of three.
-    """
-    gangs_first = sorted(
-        (w for w in found if w.job.spec.shape == "ensemble"), key=lambda w: w.order, reverse=True
-    )
-    others = sorted(
-        (w for w in found if w.job.spec.shape != "ensemble"), key=lambda w: w.order, reverse=True
-    )
-    queue: list[Waiting] = []
-    while gangs_first and others:
-        gang = gangs_first[-1].order._replace(size=0)
-        queue.append((gangs_first if gang < others[-1].order else others).pop())
-    return queue + gangs_first[::-1] + others[::-1]
-
-
 class Leader:
     """Deals while this node leads."""
 
@@ -98,10 +64,8 @@
         self.blocked: set[Place] = set()
         self.logged_reasons: dict[JobId, str] = {}
         self.runs = Runs()
-        self.ordering = Ordering(ctx.settings.params.objectives)
-        self.urgency = Urgency(ctx, lambda spec: self.runs.mean(spec, ctx.now))
-        self.preemption = preemption.Preemption(ctx, self.urgency.rank)
-        self.first: JobId | None = None
+        self.waiting = WaitingQueue(ctx, lambda spec: self.runs.mean(spec, ctx.now))
+        self.preemption = preemption.Preemption(ctx, self.waiting.urgency.rank)
         self.up: set[str] = set()
         self.flying: dict[JobId, set[int]] = {}
         self.refused = Refused()
@@ -117,62 +81,11 @@
 
     def queue(self, quota: Quota) -> list[Waiting]:
         """Jobs that could start something now, the most pressing first."""
-        ctx = self.ctx
-        found = []
-        self.first = self._longest()
-        for name, job in ctx.view.waiting.items():
-            if job.retry_at > ctx.wall:
-                self.reasons[name] = "its tasks failed; it is tried again later"
-                continue
-            if ctx.grants.is_over(job, ctx.now, ctx.wall):
-                self.reasons[name] = "its home cell's grant has ended"
-                continue
-            tasks = job.spec.tasks if job.spec.shape != "array" else 1
-            within = quota.within_guarantee(job.spec, tasks)
-            run = self.runs.mean(job.spec, ctx.now)
-            since = ctx.view.since(name, job)
-            rank, due_at = self.urgency.of(name, job)
-            order = self.ordering.key(
-                job.spec,
-                name,
-                ctx.wall - since,
-                run,
-                within,
-                name == self.first,
-                job.waiting_count,
-                rank,
-                None if due_at is None else due_at - since,
-            )
-            found.append(Waiting(name, job, within, order, rank, ctx.wall - since))
-        return merged(found)
-
-    def _longest(self) -> JobId | None:
-        """The gang that has waited longest, if that is so long that room is gathered for it."""
-        waits = [
-            (self.ctx.view.since(name, job), name)
-            for name, job in self.ctx.view.waiting.items()
-            if job.spec.shape == "ensemble" and job.retry_at <= self.ctx.wall
-        ]
-        at, name = min(waits, default=(self.ctx.wall, None))
-        return name if self.ctx.wall - at > LONG_S else None
+        return self.waiting.queue(quota, self.reasons)
 
     def keeps_quota(self, wait: Waiting) -> bool:
-        """Is the rest of its team's limit kept for this gang, which has waited longest?
-
-        Only while that can help: replicas end when their user says so, and what they take
-        is not waited for. And not for long at a time, for its team's other jobs would
-        otherwise wait beside free machines and under their limit.
-        """
-        spec = wait.job.spec
-        if wait.name != self.first or (wait.age - LONG_S) % (KEEP_S + PAUSE_S) >= KEEP_S:
-            return False
-        lasting = [0.0, 0.0]
-        for job in self.ctx.view.jobs.values():
-            if job.spec.team == spec.team and job.spec.shape == "standing":
-                lasting[0] += job.spec.cpus * len(job.entries)
-                lasting[1] += job.spec.gpus * len(job.entries)
-        team = next((t for t in self.ctx.settings.params.teams if t.name == spec.team), None)
-        return limit_fits(team, spec, spec.tasks, lasting)
+        """Is the rest of its team's limit kept for this gang, which has waited longest?"""
+        return self.waiting.keeps_quota(wait)
 
     def tick(self) -> None:
         """One round of dealing, while this node leads."""
--- a/coursefold/coordination/pools.py
+++ b/coursefold/coordination/pools.py
@@ -12,11 +12,12 @@
 from coursefold.coordination.demand import Need, Planner, PoolDemand, PoolId, Runs
 from coursefold.coordination.hires import HireBook, pool_of
 from coursefold.coordination.inventory import SPARE, Inventory
-from coursefold.coordination.leader import Leader, Waiting
+from coursefold.coordination.leader import Leader
 from coursefold.coordination.pid import Gains, step
 from coursefold.coordination.placement import Place, Room
 from coursefold.coordination.quota import Quota
 from coursefold.coordination.stability import Losses
+from coursefold.coordination.waiting import Waiting
 from coursefold.policy import Adjustment
 from coursefold.policy.model import Env
 from coursefold.protocol.wire import Catalog, Job
--- a/coursefold/coordination/upgrade.py
+++ b/coursefold/coordination/upgrade.py
@@ -18,7 +18,7 @@
 from msgspec import Struct
 
 from coursefold.coordination.context import Context
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.edits import FIRST, LATER, Edit, NotApplicableError, Remove, Result
 from coursefold.storage.records import JobRecord, Level, PoolRecord, Version
 
@@ -183,8 +183,8 @@
             held = view.held.get(key)
             if held is None or not isinstance(held.record, JobRecord | PoolRecord):
                 continue
-            value = records.dump(held.record, view.level)
-            if key not in view.spread and records.size(value) > ctx.queue.limits.value:
+            value = codec.dump(held.record, view.level)
+            if key not in view.spread and codec.size(value) > ctx.queue.limits.value:
                 self._rewrite(key, None)
 
     def _rewrite(self, key: str, first: Struct | None) -> None:
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -15,7 +15,7 @@
 from coursefold.protocol.ids import JobId, Moment, WallTime
 from coursefold.protocol.wire import DirectOrders, KeyRow, News, encode
 from coursefold.settings import Settings
-from coursefold.storage import records
+from coursefold.storage import codec, records, spreading
 from coursefold.storage.batches import Batch
 from coursefold.storage.records import Ending, ending_key
 from coursefold.transport.http_client import HttpClient, NoAnswerError
@@ -454,7 +454,7 @@
             if row is not None:
                 parts: list[KeyRow] = []
                 if isinstance(row.value, dict):
-                    parts, _ = await self.state.rows(records.parts_prefix(key))
+                    parts, _ = await self.state.rows(spreading.parts_prefix(key))
                 self._enter()
                 view.put(key, row.value, row.stamp)
                 for part in parts:
@@ -489,7 +489,7 @@
                 raise UnavailableError("over our part of the rate", 429)
             row = await self.state.get(ending_key(job))
             if row is not None:
-                ending = records.parse(row.key, row.value)
+                ending = codec.parse(row.key, row.value)
                 found = ending if isinstance(ending, Ending) else None
         except (UnavailableError, msgspec.ValidationError) as wrong:
             log.debug("read %s: %s", job, wrong)
--- a/coursefold/storage/batches.py
+++ b/coursefold/storage/batches.py
@@ -2,7 +2,7 @@
 
 from typing import Any, NamedTuple
 
-from coursefold.storage import records
+from coursefold.storage import codec, records, spreading
 from coursefold.storage.edits import Edit, End, Remove, Result
 from coursefold.storage.limits import Limits
 from coursefold.storage.view import View
@@ -99,22 +99,22 @@
     def change_of(self, key: str, result: Result, permit: int | None) -> KeyChange:
         """What a key's result changes; a large record is laid over several keys."""
         old = self.view.spread.get(key, 0)
-        gone = [{"Remove": records.part_key(key, number)} for number in range(1, old + 1)]
+        gone = [{"Remove": spreading.part_key(key, number)} for number in range(1, old + 1)]
         if isinstance(result, Remove):
             return KeyChange([{"Remove": key}, *gone], REMOVE_BYTES, 0)
         if isinstance(result, End):
             ending = key.replace(records.JOBS, records.ENDINGS, 1)
-            value = records.dump(result.ending)
+            value = codec.dump(result.ending)
             moved = [{"Remove": key}, {"Set": ending, "Value": value}]
             return KeyChange([*moved, *gone], END_BYTES, 0)
         level = self.view.level
         limit = self.limits.value if level else UNLIMITED
-        head, parts = records.spread(records.dump(result, level), limit)
+        head, parts = spreading.spread(codec.dump(result, level), limit)
         write: dict[str, Any] = {"Set": key, "Value": head}
         if permit is not None:
             write["Permit"] = permit
         writes = [write]
         for number, text in enumerate(parts, 1):
-            writes.append({"Set": records.part_key(key, number), "Value": text})
-        size = records.size(head) + sum(len(text) for text in parts)
+            writes.append({"Set": spreading.part_key(key, number), "Value": text})
+        size = codec.size(head) + sum(len(text) for text in parts)
         return KeyChange(writes + gone[len(parts) :], size, len(parts))
--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -20,7 +20,7 @@
 from msgspec import Struct
 
 from coursefold.protocol.ids import Moment
-from coursefold.storage import records
+from coursefold.storage import codec, records, spreading
 from coursefold.storage.batches import Batch, Draft
 from coursefold.storage.edits import FIRST, Edit, End, NotApplicableError, Remove, Result
 from coursefold.storage.limits import Budget, Limits
@@ -211,12 +211,12 @@
         """True if the record cannot be written within the service's limits."""
         if not isinstance(result, (JobRecord, records.PoolRecord)):
             return False
-        value = records.dump(result, self.view.level)
-        if records.size(value) <= self.limits.value:
+        value = codec.dump(result, self.view.level)
+        if codec.size(value) <= self.limits.value:
             return False
         if not self.view.level:
             return True
-        return len(records.spread(value, self.limits.value).parts) >= self.most_parts()
+        return len(spreading.spread(value, self.limits.value).parts) >= self.most_parts()
 
     def _shrinks(self, before: Struct | None, result: Result) -> bool:
         """Does an edit make a record smaller that is too large as it is?
@@ -226,7 +226,7 @@
         return (
             isinstance(before, JobRecord)
             and isinstance(result, JobRecord)
-            and records.size(records.dump(result)) <= records.size(records.dump(before))
+            and codec.size(codec.dump(result)) <= codec.size(codec.dump(before))
         )
 
     def next_batch(self, now: Moment) -> Batch | None:
@@ -311,7 +311,7 @@
     def _beyond(self, batch: Batch, limits: Limits) -> bool:
         """Would this transaction be too much under these limits?"""
         return batch.writes > limits.txn_ops or any(
-            records.size(op["Value"]) > limits.value for op in batch.body["Then"] if "Value" in op
+            codec.size(op["Value"]) > limits.value for op in batch.body["Then"] if "Value" in op
         )
 
     def lease_gone(self, batch: Batch) -> None:
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -12,7 +12,7 @@
 
 from coursefold.protocol.ids import JobId, Stamp
 from coursefold.protocol.wire import RANKS, Catalog, Job
-from coursefold.storage import records
+from coursefold.storage import codec, records, spreading
 from coursefold.storage.cell_records import CellLink
 from coursefold.storage.needs import Needs
 from coursefold.storage.records import (
@@ -123,14 +123,14 @@
             return False
         count = 0
         try:
-            head = records.packed(value)
+            head = spreading.packed(value)
             if head is not None:
                 texts = self._texts(key, head, stamp)
                 if texts is None:
                     self._heads[key] = (value, stamp)
                     return False
-                value, count = records.join(texts), head.parts
-            record = records.parse(key, value)
+                value, count = spreading.join(texts), head.parts
+            record = codec.parse(key, value)
         except (msgspec.ValidationError, TypeError, ValueError) as wrong:
             log.error("record %s is not readable: %s", key, wrong)
             self.unreadable.add(key)
@@ -144,10 +144,10 @@
         self.keep(key, record, stamp, count)
         return True
 
-    def _texts(self, key: str, head: records.Packed, stamp: int) -> list[str] | None:
+    def _texts(self, key: str, head: spreading.Packed, stamp: int) -> list[str] | None:
         """A packed record's texts, or None while a part of the same Stamp is missing."""
         texts = [head.text]
-        keys = [records.part_key(key, number) for number in range(1, head.parts + 1)]
+        keys = [spreading.part_key(key, number) for number in range(1, head.parts + 1)]
         for part in keys:
             text, at = self._parts.get(part, ("", 0))
             if at != stamp:
@@ -158,7 +158,7 @@
         return texts
 
     def _put_part(self, part: str, value: Any, stamp: int) -> bool:
-        key = records.head_key(part)
+        key = spreading.head_key(part)
         if stamp <= self.stamp(key) or stamp <= self.gone.get(key, 0):
             return False  # its head is known already, from our own commit
         if not isinstance(value, str) or stamp < self._parts.get(part, ("", 0))[1]:
@@ -173,7 +173,7 @@
 
     def _put_ending(self, key: str, value: Any) -> bool:
         try:
-            record = records.parse(key, value)
+            record = codec.parse(key, value)
         except (msgspec.ValidationError, TypeError) as wrong:
             log.error("record %s is not readable: %s", key, wrong)
             return False
--- a/tests/cells_world.py
+++ b/tests/cells_world.py
@@ -13,6 +13,7 @@
 from coursefold.cells.cells import Cells
 from coursefold.cells.config import CellsConfig, CellsFile
 from coursefold.settings import Settings
+from coursefold.storage import codec, records
 from coursefold.storage.cell_records import AwayStage, GuestStage
 from coursefold.storage.records import JobRecord
 from tests.fleet import Fleet, Node
@@ -91,10 +92,9 @@
 
     def records(self) -> dict[str, JobRecord]:
         """The job records as the state service has them."""
-        view = self.nodes[0].version.records
-        rows = self.store.rows(view.JOBS)
+        rows = self.store.rows(records.JOBS)
         parsed = {
-            row["K"].removeprefix(view.JOBS): view.parse(row["K"], row["Value"]) for row in rows
+            row["K"].removeprefix(records.JOBS): codec.parse(row["K"], row["Value"]) for row in rows
         }
         return {name: record for name, record in parsed.items() if isinstance(record, JobRecord)}
 
--- a/tests/fleet_node.py
+++ b/tests/fleet_node.py
@@ -163,7 +163,7 @@
             return
         key = records.ending_key(JobId(read.job))
         row = self.world.store.row(key)
-        record = self.version.records.parse(key, row["Value"]) if row else None
+        record = self.version.codec.parse(key, row["Value"]) if row else None
         found = record if isinstance(record, self.version.records.Ending) else None
         self.core.read(read.ticket, found)
 
--- a/tests/production.py
+++ b/tests/production.py
@@ -6,6 +6,7 @@
 """
 
 import importlib
+import importlib.util
 import io
 import re
 import subprocess
@@ -28,15 +29,19 @@
     Core: Any
     Settings: Any
     records: Any
+    codec: Any  # in production's time a part of `records`
 
 
 def _version(name: str, package: str) -> Version:
     effects = importlib.import_module(f"{package}.coordination.effects")
+    records = importlib.import_module(f"{package}.storage.records")
+    has_codec = importlib.util.find_spec(f"{package}.storage.codec") is not None
     return Version(
         name=name,
         Core=importlib.import_module(f"{package}.coordination.core").Core,
         Settings=importlib.import_module(f"{package}.settings").Settings,
-        records=importlib.import_module(f"{package}.storage.records"),
+        records=records,
+        codec=importlib.import_module(f"{package}.storage.codec") if has_codec else records,
         view=importlib.import_module(f"{package}.storage.view"),
         **{kind: getattr(effects, kind) for kind in KINDS},
     )
--- a/tests/shares_world.py
+++ b/tests/shares_world.py
@@ -15,7 +15,7 @@
 from coursefold.settings import Settings
 from coursefold.shares.config import SharesConfig, SharesFile, check
 from coursefold.shares.shares import Shares
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.batches import Batch
 from coursefold.storage.records import Roster
 from coursefold.storage.share_records import MachineOwnership, MoveStage
@@ -92,7 +92,7 @@
     def roster(self) -> tuple[Roster | None, int]:
         """The roster and its revision."""
         row = self.store.row(str(records.ROSTER))
-        record = records.parse(records.ROSTER, row["Value"]) if row else None
+        record = codec.parse(records.ROSTER, row["Value"]) if row else None
         return (record, row["Stamp"]) if row and isinstance(record, Roster) else (None, 0)
 
     def members(self) -> list[str]:
@@ -104,7 +104,7 @@
         """Records of machines that were moved."""
         found: dict[str, MachineOwnership] = {}
         for row in self.store.rows(records.OWNERSHIPS):
-            record = records.parse(row["K"], row["Value"])
+            record = codec.parse(row["K"], row["Value"])
             assert isinstance(record, MachineOwnership)
             found[row["K"].removeprefix(records.OWNERSHIPS)] = record
         return found
--- a/tests/standins/servers.py
+++ b/tests/standins/servers.py
@@ -19,7 +19,7 @@
 
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import encode
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.transport.http_client import HttpClient, NoAnswerError
 from tests.standins.state import StateStore
 
@@ -196,7 +196,7 @@
         """Users upload descriptions for the workers; here the record serves for that."""
         key = records.job_key(JobId(task.partition("/")[0]))
         row = self.store.row(key)
-        record = records.parse(key, row["Value"]) if row else None
+        record = codec.parse(key, row["Value"]) if row else None
         return isinstance(record, records.JobRecord) and record.spec.shape == "standing"
 
     def hire(self, body: dict[str, Any]) -> list[str]:
--- a/tests/test_cells_input.py
+++ b/tests/test_cells_input.py
@@ -36,7 +36,7 @@
 from coursefold.protocol.ids import JobId, Moment, WallTime
 from coursefold.protocol.wire import Catalog, Job, decode, encode
 from coursefold.settings import Settings, SettingsError, load, split_address
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.cell_records import (
     Away,
     AwayStage,
@@ -672,10 +672,10 @@
 def test_nothing_is_added_to_the_bytes_of_a_job_that_never_moved() -> None:
     plain = JobRecord(spec(), EPOCH)
     moved = msgspec.structs.replace(plain, away=Away("north", 1, AwayStage.HOME, EPOCH))
-    assert len(records.dump(plain, 1)) == 6
+    assert len(codec.dump(plain, 1)) == 6
     for record in (plain, moved, guest_job(GuestStage.GRANTED)):
         key = records.job_key(NAME)
-        assert records.parse(key, records.dump(record, 2)) == record
+        assert codec.parse(key, codec.dump(record, 2)) == record
 
 
 def test_use_counts_at_home_while_a_job_is_away() -> None:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -14,7 +14,7 @@
 from coursefold.coordination.queueing import optimum
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Catalog, Job, decode, encode
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.edits import NotApplicableError
 from coursefold.storage.records import PLACED, Entry, JobRecord
 from tests.world import CATALOG, JOB, SETTINGS, World
@@ -199,7 +199,7 @@
     key = records.job_key(JobId("job-1"))
     live = world.core.view.jobs[JobId("job-1")]
     held = msgspec.structs.replace(live, attempt=1, entries=[place])
-    world.store.set(key, records.dump(held))
+    world.store.set(key, codec.dump(held))
     began, at = world.now, 3
     while world.now < began + 30.0:
         for name in names[silent:]:
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -12,7 +12,7 @@
 from coursefold.coordination.requests import Purpose, Question
 from coursefold.protocol.ids import JobId, Moment, WallTime
 from coursefold.protocol.wire import Catalog, Job, MachineType, decode, encode
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.edits import Edit, NotApplicableError
 from coursefold.storage.records import Ending, JobRecord
 from coursefold.storage.view import Load
@@ -87,7 +87,7 @@
     """Our news of it are still on their way; a 422 from our own view would be final."""
     world = switched()
     spec = decode(encode(JOB | {"NameId": "job-1"}), Job)
-    world.store.set(key("job-1"), records.dump(JobRecord(spec, EPOCH)))
+    world.store.set(key("job-1"), codec.dump(JobRecord(spec, EPOCH)))
     assert JobId("job-1") not in world.core.view.jobs
     accepted(world, "job-2", "job-1")
     assert status(world, "job-2") == "pending"
@@ -151,7 +151,7 @@
     world = switched()
     spec = decode(encode(JOB | {"NameId": "job-1"}), Job)
     for name in names:
-        world.store.set(key(name), records.dump(JobRecord(spec, EPOCH)))
+        world.store.set(key(name), codec.dump(JobRecord(spec, EPOCH)))
     world.core.queue.later = world.core.queue.limits._replace(txn_ops=5, value=2048)
     world.run(3.0)
     accepted(world, "job-1", *names[:1000])
@@ -281,7 +281,7 @@
         assert view.since(JobId("job-2"), job) == EPOCH + 55.0
         (found,) = [w for w in world.core.leader.queue(quota(world)) if w.name == "job-2"]
         assert found.age == pytest.approx(world.now - 55.0, abs=1.0)
-        due_at = world.core.leader.urgency.of(JobId("job-2"), job).due_at
+        due_at = world.core.leader.waiting.urgency.of(JobId("job-2"), job).due_at
         assert due_at == pytest.approx(job.at + 900.0)
         world.restart()
         world.run(world.now + 3.0)
@@ -299,7 +299,7 @@
     accepted(world, "job-1", Rank="idle")
     accepted(world, "job-2", "job-1", Rank="idle", ExpectedS=30.0)
     accepted(world, "job-3", "job-2", Rank="urgent", DueS=200.0, ExpectedS=20.0)
-    urgency, jobs = world.core.leader.urgency, world.core.view.jobs
+    urgency, jobs = world.core.leader.waiting.urgency, world.core.view.jobs
     found = [urgency.of(JobId(n), jobs[JobId(n)]) for n in ("job-1", "job-2", "job-3")]
     assert [u.rank for u in found] == [1, 1, 1]
     ends = [u.due_at or 0.0 for u in found]
--- a/tests/test_questions.py
+++ b/tests/test_questions.py
@@ -6,7 +6,7 @@
 
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, Moment
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.records import Entry, JobRecord
 from coursefold.transport.state import StateClient
 from tests.world import SETTINGS, World
@@ -100,7 +100,7 @@
     world.submit("job-1", Pieces=2)
     world.run(2.0)
     placed = Entry(0, records.PLACED, 1, "n1", "b", "i-5", 1)
-    value = records.dump(JobRecord(record(world, "job-1").spec, 0.0, attempt=1, entries=[placed]))
+    value = codec.dump(JobRecord(record(world, "job-1").spec, 0.0, attempt=1, entries=[placed]))
     world.store.set(records.job_key(JobId("job-1")), value)
     world.run(2.5)
 
--- a/tests/test_shares_guards.py
+++ b/tests/test_shares_guards.py
@@ -13,7 +13,7 @@
 from coursefold.shares import moves
 from coursefold.shares.config import SharesConfig
 from coursefold.shares.shares import Shares
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.edits import Change, NotApplicableError, Remove
 from coursefold.storage.share_records import MachineOwnership, MoveMode, MoveStage
 from tests.shares_world import shares_file
@@ -84,7 +84,7 @@
             self.run(self.now + 0.25)
 
     def record(self) -> MachineOwnership:
-        found = records.parse(KEY, self.store.keys[str(KEY)][0])
+        found = codec.parse(KEY, self.store.keys[str(KEY)][0])
         assert isinstance(found, MachineOwnership)
         return found
 
--- a/tests/test_shares_loopback.py
+++ b/tests/test_shares_loopback.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from coursefold.coordination.parts import owner as hashed_owner
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.records import Roster
 from coursefold.storage.share_records import MachineOwnership
 from tests.cell_processes import Cell, write
@@ -42,14 +42,14 @@
     def owners(self) -> dict[str, tuple[str, int]]:
         """Each machine's owner and fencing token, by the stored records alone."""
         row = self.store.row(str(records.ROSTER))
-        roster = records.parse(records.ROSTER, row["Value"]) if row else None
+        roster = codec.parse(records.ROSTER, row["Value"]) if row else None
         if row is None or not isinstance(roster, Roster):
             return {}
         found = {}
         for name, box in self.cloud.boxes.items():
             owner, token = hashed_owner(name, box["Site"], roster) or "", row["Stamp"]
             kept = self.store.row(records.ownership_key(name))
-            record = records.parse(kept["K"], kept["Value"]) if kept else None
+            record = codec.parse(kept["K"], kept["Value"]) if kept else None
             if isinstance(record, MachineOwnership):
                 token = max(token, record.token)
                 member = roster.member(record.owner)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -11,11 +11,12 @@
 from coursefold.coordination import jobs
 from coursefold.protocol.ids import JobId, Moment
 from coursefold.protocol.wire import Job, decode, encode
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.batches import Batch
+from coursefold.storage.codec import dump, parse
 from coursefold.storage.edits import FIRST, Edit, NotApplicableError
 from coursefold.storage.queue import MOST_CONFLICTS, CommitQueue
-from coursefold.storage.records import Entry, JobRecord, add_done, dump, parse
+from coursefold.storage.records import Entry, JobRecord, add_done
 from coursefold.storage.view import View
 from tests.standins.state import StateStore
 from tests.world import JOB, World
@@ -51,7 +52,7 @@
     record = jobs.place_gang(places)(JobRecord(spec, 0.0))
     assert isinstance(record, JobRecord)
     plain = dump(record)
-    assert records.size(plain) < 8 * 1024
+    assert codec.size(plain) < 8 * 1024
     assert parse(records.job_key(JobId("job-1")), plain) == record
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, Moment
 from coursefold.protocol.wire import Job, decode, encode
-from coursefold.storage import records
+from coursefold.storage import codec, records, spreading
 from coursefold.storage.edits import Edit
 from coursefold.storage.limits import Limits
 from coursefold.storage.queue import CommitQueue
@@ -45,8 +45,8 @@
         (records.job_key(JobId("job-2")), Ending(records.DONE, 3)),
         (str(records.ROSTER), roster),
     ):
-        theirs = old.records.parse(key, records.dump(record, 0))
-        assert records.parse(key, old.records.dump(theirs)) == record
+        theirs = old.records.parse(key, codec.dump(record, 0))
+        assert codec.parse(key, old.records.dump(theirs)) == record
 
 
 def test_kept_bytes_of_production_are_read() -> None:
@@ -54,9 +54,9 @@
     kept = json.loads((ROOT / "tests" / "kept" / "production.json").read_text())
     assert kept["version"] == commit()
     for key, value in kept["records"].items():
-        record = records.parse(key, value)
+        record = codec.parse(key, value)
         assert record is not None
-        ours = records.dump(record, 0)
+        ours = codec.dump(record, 0)
         # What we leave out at the end is what production takes for granted.
         assert value[: len(ours)] == ours if isinstance(value, list) else value == ours
         assert not isinstance(value, list) or not any(value[len(ours) :])
@@ -90,9 +90,9 @@
 
 def test_production_takes_no_harm_from_keys_it_does_not_know(old: Version) -> None:
     view = old.view.View()
-    view.put(records.version_key("n0"), records.dump(records.Version(1, 7)), 3)
-    view.put(str(records.LEVEL), records.dump(Level(1)), 4)
-    view.put(records.part_key("cf/j/job-1", 1), "text", 5)
+    view.put(records.version_key("n0"), codec.dump(records.Version(1, 7)), 3)
+    view.put(str(records.LEVEL), codec.dump(Level(1)), 4)
+    view.put(spreading.part_key("cf/j/job-1", 1), "text", 5)
     assert view.held == {}
     assert not view.jobs
 
@@ -109,7 +109,7 @@
     view.reload([(r["K"], r["Value"], r["Stamp"]) for r in world.store.rows("cf/")], 99)
     assert view.roster is None
     assert view.catalog is None
-    assert records.parse(records.ROSTER, world.store.keys[str(records.ROSTER)][0]) is not None
+    assert codec.parse(records.ROSTER, world.store.keys[str(records.ROSTER)][0]) is not None
 
 
 # The switch
@@ -261,7 +261,7 @@
     store = fleet.store
     assert store.keys[str(records.LEVEL)][0][0] == records.OURS
     days.nothing_lost(fleet)
-    late = [k for k in store.keys if records.size(store.keys[k][0]) > NEXT["value_kb"] * 1024]
+    late = [k for k in store.keys if codec.size(store.keys[k][0]) > NEXT["value_kb"] * 1024]
     assert late == []
     assert sum(j.told == "cancelled" and bool(j.needs) for j in fleet.jobs.values()) > 3
 
@@ -441,25 +441,23 @@
 
 def test_large_records_are_brought_over_in_the_background() -> None:
     world = World()
-    value = records.dump(gang_of(300))
+    value = codec.dump(gang_of(300))
     world.store.set(records.job_key(JobId("job-1")), value)
     queue = world.core.queue
     queue.later = Limits(5, 2048, 15.0)
     world.store.set(records.LEVEL, [1])
     world.run(6.0)
     stored = world.store.keys[records.job_key(JobId("job-1"))][0]
-    assert records.size(stored) <= 2048
-    assert not any(
-        records.size(v) > 2048 for k, (v, _, _) in world.store.keys.items() if "/j/" in k
-    )
+    assert codec.size(stored) <= 2048
+    assert not any(codec.size(v) > 2048 for k, (v, _, _) in world.store.keys.items() if "/j/" in k)
 
 
 def test_parts_and_heads_may_come_in_any_order() -> None:
     """Parts carry their head's Stamp; those of another Stamp are never put together."""
     key = records.job_key(JobId("job-1"))
     big = gang_of(320)
-    head, parts = records.spread(records.dump(big), 2048)
-    rows = [(key, head), *((records.part_key(key, n), t) for n, t in enumerate(parts, 1))]
+    head, parts = spreading.spread(codec.dump(big), 2048)
+    rows = [(key, head), *((spreading.part_key(key, n), t) for n, t in enumerate(parts, 1))]
     assert len(rows) > 1
     for order in (rows, rows[::-1]):
         view = View()
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,7 +15,7 @@
 from coursefold.protocol.ids import JobId, Moment, WallTime
 from coursefold.protocol.wire import Catalog, encode
 from coursefold.settings import Settings
-from coursefold.storage import records
+from coursefold.storage import codec, records
 from coursefold.storage.records import Ending
 from tests.standins.state import StateStore
 
@@ -210,7 +210,7 @@
             return
         key = records.ending_key(JobId(read.job))
         row = self.store.row(key)
-        record = records.parse(key, row["Value"]) if row is not None else None
+        record = codec.parse(key, row["Value"]) if row is not None else None
         self.core.read(read.ticket, record if isinstance(record, Ending) else None)
 
     def _vouch(self) -> None:
