--- a/coursefold/cli.py
+++ b/coursefold/cli.py
@@ -12,6 +12,7 @@
 from coursefold import __version__
 from coursefold.settings import Settings, SettingsError, load, split_address
 
+UNTIL_FORMATS = ("%Y-%m-%d %H:%M", "%Y-%m-%dT%H:%M", "%Y-%m-%d %H:%M:%S", "%Y-%m-%d")
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 POLICY_VARIABLE = "COURSEFOLD_POLICY"
 CELLS_VARIABLE = "COURSEFOLD_CELLS"
@@ -306,7 +307,12 @@
 @click.option("--zone", default="", help="Only machines of this zone.")
 @click.option("--count", required=True, type=click.IntRange(min=1), help="How many.")
 @click.option("--mode", type=click.Choice(["finish", "drain"]), default="finish", show_default=True)
-@click.option("--until", required=True, type=click.DateTime(), help="In force until (local time).")
+@click.option(
+    "--until",
+    required=True,
+    type=click.DateTime(UNTIL_FORMATS),
+    help="In force until this local time.",
+)
 @click.option("--request-id", required=True, help="The same again is the same request.")
 def move_shares(
     node: str,
--- a/tests/measure_shares.py
+++ b/tests/measure_shares.py
@@ -20,7 +20,6 @@
 BEGIN_S, LOAD_S, END_S = 20.0, 150.0, 400.0
 CAPACITY = 200
 JOBS = 160
-SHIFT_S = 3.0
 LARGE, SHIFTED = 4000, 1000
 SMALL_WRITE_RPS = 60.0  # of the settings page's example
 FAST = {"at_once": 40, "a_minute": 1200, "limit_s": 120.0}
@@ -29,8 +28,17 @@
 class Move(NamedTuple):
     """What is asked for during a measured day."""
 
+    name: str
     mode: str
-    most: int
+    most: int  # machines at a time
+    every_s: float
+
+
+MOVES = (
+    Move("some", "finish", 4, 12.0),
+    Move("many", "finish", 12, 3.0),
+    Move("many, draining", "drain", 12, 3.0),
+)
 
 
 def submit_all(fleet: SharesFleet, seed: int) -> dict[str, str]:
@@ -69,7 +77,7 @@
         }  # fmt: skip
         fleet.send("/shares/move", body, leader)
     if fleet.now < LOAD_S:
-        fleet.after(SHIFT_S, lambda: shift(fleet, rng, move))
+        fleet.after(move.every_s, lambda: shift(fleet, rng, move))
 
 
 def play(seed: int, move: Move | None) -> None:
@@ -89,7 +97,7 @@
     moved = sum(fleet.handovers.values())
     rows = [n for n in fleet.store.news if (n.get("Set") or n["Remove"]).startswith("cf/s/")]
     written = sum(size(row.get("Value")) for row in rows)
-    title = f"seed {seed}, {move.mode if move else 'no moves'}"
+    title = f"seed {seed}, {move.name if move else 'no moves'}"
     per_move = f"{len(rows) / moved:.1f} changes, {written / moved:.0f} B a move" if moved else ""
     print(
         f"{title}: {moved} handovers ({fleet.handed_with_tasks} with tasks), "
@@ -152,7 +160,7 @@
         if word == "large":
             large()
             continue
-        for move in (None, Move("finish", 12), Move("drain", 12)):
+        for move in (None, *MOVES):
             play(int(word), move)
 
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -334,6 +334,29 @@
     return request(move, record.roster, EPOCH)
 
 
+def test_nothing_new_starts_on_a_machine_that_drains() -> None:
+    """Half of each machine is free, and the leader knows its siblings' machines too."""
+    fleet = running(jobs=0)
+    half = {"Vcpus": 8.0, "Accelerators": 1.0}
+    names = fleet.fill(24, 60.0, prefix="2", **half)
+    fleet.run(fleet.now + 20.0)
+    ask(fleet, 2)
+    fleet.run_until(lambda: len(fleet.under_way()) == 2, MOVE_S)
+    draining = set(fleet.under_way())
+    fleet.run(fleet.now + 5.0)  # what was placed before fetches its image
+    before = {name for name, (worker, _) in fleet.on.items() if worker.id in draining}
+    assert before
+    names += fleet.fill(12, 10.0, prefix="3", **half)
+    end = fleet.now + 25.0
+    while fleet.now < end:
+        fleet.run(fleet.now + 0.2)
+        still = draining & set(fleet.under_way())
+        there = {name for name, (worker, _) in fleet.on.items() if worker.id in still}
+        assert there <= before
+    assert any(fleet.jobs[name].first_start > 0 for name in names[24:])
+    ends_well(fleet, names)
+
+
 @pytest.mark.parametrize("how", ["returned", "recalled", "taken"])
 def test_a_return_goes_before_a_move(how: str) -> None:
     fleet = running(jobs=40, run_s=60.0)
--- a/tests/test_shares_guards.py
+++ b/tests/test_shares_guards.py
@@ -316,6 +316,49 @@
     assert (str(KEY) in world.store.keys) == (owner != "n0")
 
 
+DRAINING = MachineOwnership(5, MoveStage.DRAINING, source="n0", target="n1", roster=3)
+SETTLED = msgspec.structs.replace(DRAINING, stage=MoveStage.SETTLED)
+SECOND = moves.Move(MACHINE, "n0", "n2", 9, MoveMode.FINISH, EPOCH, "second")
+
+
+@pytest.mark.parametrize(
+    ("change", "record"),
+    [
+        (moves.request(SECOND, 3, EPOCH), DRAINING),  # one at a time
+        (moves.request(SECOND._replace(epoch=5), 3, EPOCH), SETTLED),  # an epoch of before
+        (moves.withdraw(4, EPOCH, ""), DRAINING),  # another move's epoch
+        (moves.withdraw(5, EPOCH, ""), SETTLED),  # handed over already
+        (moves.withdraw(5, EPOCH, ""), None),
+        (moves.renew(DRAINING, 7), SETTLED),
+        (moves.hand_over(DRAINING, 6, 1, EPOCH), SETTLED),  # withdrawn
+        (moves.hand_over(DRAINING, 6, 1, EPOCH), msgspec.structs.replace(DRAINING, target="n2")),
+        (moves.forget(SETTLED), DRAINING),
+    ],
+)
+def test_a_step_that_comes_too_late_changes_nothing(
+    change: Change, record: MachineOwnership | None
+) -> None:
+    with pytest.raises(NotApplicableError):
+        change(record)
+
+
+def test_a_machine_is_used_again_when_a_move_has_run_out_of_time() -> None:
+    """Also where no leader has a file any more, who would withdraw it."""
+    world = Pair()
+    world.core.extensions.clear()
+    world.moves_to("n1", until=EPOCH + world.now + 5.0)
+    world.submit("job-2", **REPLICA)
+    for seconds in (4.0, 4.0):
+        assert world.core.view.entry(JobId("job-2"), 0) is None
+        world.says([world.task()])
+        world.run(world.now + seconds)
+    world.says([world.task()])
+    world.run(world.now + 1.0)
+    entry = world.core.view.entry(JobId("job-2"), 0)
+    assert entry is not None
+    assert entry.machine == MACHINE
+
+
 class MoveSteps(RuleBasedStateMachine):
     """One machine's record under edits that come in any order, twice, or late."""
 
--- a/tests/test_shares_input.py
+++ b/tests/test_shares_input.py
@@ -323,3 +323,29 @@
     assert 4 <= world.counts()["n0"] < 12
     world.run_until(lambda: world.counts()["n0"] == 3, 120.0)  # within one of its share
     assert not world.stops
+
+
+def test_the_command_line_sends_what_it_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    sent: list[Any] = []
+
+    def fetch(node: str, method: str, path: str, body: Any = None) -> tuple[int, dict[str, Any]]:
+        sent.append((path, body))
+        if path == "/shares/withdraw":
+            return 200, {"Epoch": 47, "Machines": ["i-1"]}
+        return 200, (body or {}) | {"FromCount": 1, "ToCount": 4, "Withdrawn": False}
+
+    monkeypatch.setattr("coursefold.client._fetch", fetch)
+    words = ["shares", "move", "--from", "n0", "--to", "n1", "--type", "g2", "--count", "2"]
+    words += ["--request-id", "r-1", "--until"]
+    result = CliRunner().invoke(main, [*words, "2026-12-04 18:00"])
+    assert result.exit_code == 0, result.output
+    assert "2 of g2 from n0 (then 1) to n1 (then 4), until 2026-12-04 18:00" in result.output
+    path, body = sent[0]
+    assert path == "/shares/move"
+    until = datetime(2026, 12, 4, 18, 0).timestamp()
+    expected = GOOD | {"Count": 2, "Zone": "", "Mode": "finish", "Until": until}
+    assert body == expected
+    assert CliRunner().invoke(main, [*words, "tonight"]).exit_code == 2
+    result = CliRunner().invoke(main, ["shares", "withdraw", "47"])
+    assert (sent[-1], result.exit_code) == (("/shares/withdraw", {"Epoch": 47}), 0)
+    assert "moves of epoch 47 withdrawn: i-1" in result.output
