Shares: a machine is held back from waiting jobs for 30 s at least

Need: where jobs wait all the time, a move was withdrawn in the second after its request: 23 changes of records a move, and a quarter of the handovers.

Change: a move yields once it has lasted for 30 s itself.

--- a/coursefold/shares/planner.py
+++ b/coursefold/shares/planner.py
@@ -21,6 +21,7 @@
 TIDY_EVERY_S = 10.0
 GONE_FOR_S = 300.0  # a record outlives its machine by so long: lists may lag
 MINUTE_S = 60.0
+LONGEST_HELD_S = 30.0  # a machine that waiting jobs could use is held back by its move
 
 
 class ScopeStatus(NamedTuple):
@@ -88,9 +89,15 @@
         """Give machines back to jobs that have waited for long and would fit there.
 
         A machine that is to move takes nothing new until its tasks have ended, which may be
-        long; nobody is to wait for a minute and a half beside room that fits.
+        long; nobody is to wait for a minute and a half beside room that fits. But where jobs
+        wait all the time, machines have to move as well: each may be held back for a while.
         """
-        moving = self.port.view.moves_under_way
+        wall = self.port.ctx.wall
+        moving = {
+            machine: record
+            for machine, record in self.port.view.moves_under_way.items()
+            if wall - record.at >= LONGEST_HELD_S
+        }
         if not moving:
             return
         for machine in sorted(self.port.needed_by_waiting(moving)):
