--- a/coursefold/coordination/pools.py
+++ b/coursefold/coordination/pools.py
@@ -64,7 +64,7 @@
         self._count_arrivals(planner)
         needs = self._needs()
         self._count_running(planner)
-        planner.pack(needs, self._all_rooms())
+        planner.pack(needs, self.all_rooms())
         self.demands = planner.pools
         for pool, demand in planner.pools.items():
             self._steer(pool, demand, elapsed)
@@ -134,7 +134,7 @@
                 for spec in self.ctx.view.load(name).specs:
                     planner.running(spec, machine.pool)
 
-    def _all_rooms(self) -> list[Room]:
+    def all_rooms(self) -> list[Room]:
         """Free room now, and the machines that are about to be up."""
         ctx = self.ctx
         inventory = self.inventory
--- a/tests/test_shares_guards.py
+++ b/tests/test_shares_guards.py
@@ -1,5 +1,6 @@
 """The single guards of a handover, on one controller: each seen to fail without it."""
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -245,10 +246,58 @@
     assert world.core.view.entry(job, 0) is None
 
 
+def counted(world: Pair) -> tuple[bool, bool]:
+    """Does the sizing loop count the machine's room, and as one that is to go?"""
+    rooms = {room.id: room for room in world.core.fleet.pools.all_rooms()}
+    return MACHINE in rooms, MACHINE in rooms and rooms[MACHINE].draining
+
+
+def time_is_over(world: Pair) -> None:
+    world.moves_to("n1", until=EPOCH + world.now + 1.0)
+
+
+def is_returned(world: Pair) -> None:
+    world.moves_to("n1", until=EPOCH + 1000.0)
+    world.cloud = "down"  # so it stays for now
+    world.core.fleet.inventory.returning[MACHINE] = "for the test"
+
+
+def new_owner_ends(world: Pair) -> None:
+    world.moves_to("n1", until=EPOCH + 1000.0)
+    world.store.end(world.store.keys[records.MEMBERS + "n1"][0][1])
+
+
+def old_owner_is_another(world: Pair) -> None:
+    world.moves_to("n1", source="n2", until=EPOCH + 1000.0)
+
+
+@pytest.mark.parametrize(
+    ("happens", "why"),
+    [
+        (time_is_over, "time"),
+        (is_returned, "returned"),
+        (new_owner_ends, "controllers"),
+        (old_owner_is_another, "controllers"),
+    ],
+)
+def test_a_move_that_can_not_come_to_its_handover_is_withdrawn(
+    happens: Callable[[Pair], None], why: str
+) -> None:
+    world = Pair()
+    happens(world)
+    for _ in range(4):
+        world.run(world.now + 1.0)  # `n1` is not heard, and is handed nothing
+        world.says([world.task()])
+    assert world.record().stage == MoveStage.SETTLED
+    assert not world.record().owner
+    assert why in world.record().why
+
+
 def test_a_move_rents_nothing_and_yields_to_a_job_that_waits_for_its_room() -> None:
     """The machine holds one more task, which has to wait for the move, or for its end."""
     world = Pair()
     world.moves_to("n1", until=EPOCH + 1000.0)  # which is not heard
+    assert counted(world) == (True, False)
     hires = sum(verb == "hire" for verb, _ in world.calls)
     world.submit("job-2", **REPLICA)
     since = world.now
@@ -265,8 +314,9 @@
     hires = sum(verb == "hire" for verb, _ in world.calls)
     given_to_us(world, world.store.ledger)
     world.submit("job-2", **REPLICA)
-    world.ticks(3.0)
     assert MACHINE not in world.core.ctx.machines
+    assert counted(world) == (True, False)
+    world.ticks(3.0)
     assert sum(verb == "hire" for verb, _ in world.calls) == hires
 
 
