Shares: a withdrawn request ends its moves; counts of a request from what is in force

Need: without shares for its controllers, a request that was withdrawn left its moves under way; and one that came within a second of it counted from the old targets.

Change: moves name their request, and are withdrawn with it; targets are found anew. Tests for both, for drains without room elsewhere, and for machines that are not chosen.

--- a/coursefold/shares/commands.py
+++ b/coursefold/shares/commands.py
@@ -1,6 +1,7 @@
 """Operators' commands: move some machines for a while, and take that or a move back."""
 
 import logging
+from collections.abc import Callable
 from typing import Annotated, Any
 
 import msgspec
@@ -8,10 +9,10 @@
 
 from coursefold.shares.config import MODES, AtLeastOne, ModeName, Name
 from coursefold.shares.moves import forget
-from coursefold.shares.planner import Planner
+from coursefold.shares.planner import NamedRequest, Planner, within
 from coursefold.shares.port import CorePort
 from coursefold.storage.edits import Change, NotApplicableError, Result
-from coursefold.storage.share_records import ShareRequest
+from coursefold.storage.share_records import MachineOwnership, ShareRequest
 
 log = logging.getLogger(__name__)
 
@@ -166,14 +167,8 @@
     def _owned(self, command: MoveCommand) -> dict[str, int]:
         """What the two controllers have, or are about to have by the shares in force."""
         scope = (command.type, command.zone)
-        states = [
-            state
-            for state in self.port.machines()
-            if state.build == command.type and command.zone in ("", state.zone)
-        ]
-        owned = self.planner.owned(states)
-        status = self.planner.status.get(scope)
-        targets = status.targets if status else {}
+        owned = self.planner.owned(within(scope, self.port.machines()))
+        targets = self.planner.targets(scope)
         return {
             name: targets[name].machines if name in targets else owned[name]
             for name in (command.source, command.target)
@@ -197,14 +192,15 @@
             self._withdraw_request(command.request_id, ticket)
 
     def _withdraw_epoch(self, epoch: int, ticket: int) -> None:
-        found = {
-            machine: record
-            for machine, record in self.port.view.moves_under_way.items()
-            if record.epoch == epoch
-        }
+        ended = self._end_moves(lambda record: record.epoch == epoch)
+        self.port.answer(ticket, 200, {"Epoch": epoch, "Machines": ended})
+
+    def _end_moves(self, chosen: Callable[[MachineOwnership], bool]) -> list[str]:
+        """Withdraw the moves that are chosen; their machines."""
+        found = {m: r for m, r in self.port.view.moves_under_way.items() if chosen(r)}
         for machine, record in found.items():
             self.planner.end(machine, record, "withdrawn by an operator")
-        self.port.answer(ticket, 200, {"Epoch": epoch, "Machines": sorted(found)})
+        return sorted(found)
 
     def _withdraw_request(self, name: str, ticket: int) -> None:
         known = self.port.view.share_requests.get(name)
@@ -220,6 +216,8 @@
             return msgspec.structs.replace(current, withdrawn=True)
 
         self._write(name, change, ticket)
+        why = NamedRequest(name, known).why
+        self._end_moves(lambda record: record.why == why)
         log.info("request %s withdrawn", name)
 
     # Requests that are over
--- a/coursefold/shares/planner.py
+++ b/coursefold/shares/planner.py
@@ -13,7 +13,7 @@
 from coursefold.shares.targets import Scope, Target, Transfer, resolve, transfers
 from coursefold.storage.edits import LATER
 from coursefold.storage.limits import Budget
-from coursefold.storage.share_records import MachineOwnership, MoveMode, MoveStage, ShareRequest
+from coursefold.storage.share_records import MachineOwnership, MoveStage, ShareRequest
 
 log = logging.getLogger(__name__)
 
@@ -36,10 +36,28 @@
     """What is in force: rules by scope, and how moves that they cause are made."""
 
     rules: dict[Scope, list[ShareRule]]
-    requests: dict[Scope, ShareRequest]
+    requests: dict[Scope, "NamedRequest"]  # the last one of each
     why: str
 
 
+class NamedRequest(NamedTuple):
+    """An operator's request by its id."""
+
+    name: str
+    request: ShareRequest
+
+    @property
+    def why(self) -> str:
+        """The reason of the moves that it causes."""
+        return f"request {self.name}"
+
+
+def within(scope: Scope, states: Iterable[MachineState]) -> list[MachineState]:
+    """The machines of a type and, if one is named, a zone."""
+    build, zone = scope
+    return [state for state in states if state.build == build and zone in ("", state.zone)]
+
+
 class Planner:
     """Requests and withdraws moves while its controller leads."""
 
@@ -131,12 +149,13 @@
         rules: dict[Scope, list[ShareRule]] = {}
         for rule in self.schedule.rules_at(wall):
             rules.setdefault(rule.scope, []).append(rule)
-        requests: dict[Scope, ShareRequest] = {}
-        for found in sorted(self.port.view.share_requests.values(), key=lambda r: r.at):
+        requests: dict[Scope, NamedRequest] = {}
+        by_age = sorted(self.port.view.share_requests.items(), key=lambda item: item[1].at)
+        for name, found in by_age:
             if found.withdrawn or wall >= found.until:
                 continue
             scope = (found.build, found.zone)
-            requests[scope] = found
+            requests[scope] = NamedRequest(name, found)
             counts = ((found.source, found.source_count), (found.target, found.target_count))
             for controller, machines in counts:
                 kept = [r for r in rules.get(scope, []) if r.controller != controller]
@@ -151,17 +170,13 @@
         if not plan.rules:
             return
         states = port.machines()
-        live = port.members()
         under_way = port.view.moves_under_way
-        all_owned = self.owned(states)
         wanted: list[tuple[Transfer, list[MachineState], Scope]] = []
         for scope, rules in plan.rules.items():
-            members = [s for s in states if s.build == scope[0] and scope[1] in ("", s.zone)]
-            owned = self.owned(members)
-            for name in live:
-                owned.setdefault(name, 0)
-            most = {n: port.most_machines() - all_owned[n] + owned[n] for n in live}
-            targets = resolve(rules, len(members), live, most)
+            members = within(scope, states)
+            owned = dict.fromkeys(port.members(), 0) | self.owned(members)
+            most = self._most(members, states)
+            targets = resolve(rules, len(members), port.members(), most)
             unshown = Counter(s.owner for s in members if not s.is_shown)
             now_owned = Counter(s.owner for s in members)
             self.status[scope] = ScopeStatus(targets, now_owned, unshown)
@@ -173,6 +188,21 @@
         room = min(self.limits.at_once - len(under_way), int(self.budget.fill(port.ctx.now)))
         self._request_all(plan, wanted, room)
 
+    def targets(self, scope: Scope) -> dict[str, Target]:
+        """What the controllers are to own of a scope by what is in force now."""
+        states = self.port.machines()
+        members = within(scope, states)
+        rules = self.in_force().rules.get(scope, [])
+        return resolve(rules, len(members), self.port.members(), self._most(members, states))
+
+    def _most(
+        self, members: Iterable[MachineState], states: Iterable[MachineState]
+    ) -> dict[str, int]:
+        """Machines of a scope that each controller has connections for, beside its others."""
+        owned, all_owned = self.owned(members), self.owned(states)
+        most = self.port.most_machines()
+        return {name: most - all_owned[name] + owned[name] for name in self.port.members()}
+
     def owned(self, states: Iterable[MachineState]) -> Counter[str]:
         """Machines by owner, those on their way counted where they go."""
         under_way = self.port.view.moves_under_way
@@ -191,7 +221,7 @@
             return
         for transfer, members, scope in wanted:
             count = transfer.machines - self._turn_back(transfer, members)
-            for state in self._choose(transfer, members, min(count, room)):
+            for state in self.choose(transfer, members, min(count, room)):
                 room -= 1
                 self.last_epoch = epoch
                 self._request(state, transfer, plan, scope, epoch)
@@ -209,7 +239,7 @@
                 ended += 1
         return ended
 
-    def _choose(
+    def choose(
         self, transfer: Transfer, members: Iterable[MachineState], count: int
     ) -> list[MachineState]:
         """Machines that can be moved soonest: empty ones, then those with the fewest tasks."""
@@ -231,11 +261,11 @@
     ) -> None:
         port = self.port
         wall = port.ctx.wall
+        mode, why = self.config.mode, plan.why
         asked = plan.requests.get(scope)
-        by_request = asked is not None and asked.source == transfer.source
-        mode: MoveMode = asked.mode if asked is not None and by_request else self.config.mode
+        if asked is not None and asked.request.source == transfer.source:
+            mode, why = asked.request.mode, asked.why
         until = wall + self.limits.limit_s
-        why = "a request" if by_request else plan.why
         move = Move(state.id, transfer.source, transfer.target, epoch, mode, until, why)
         change = request(move, port.view.token, wall)
         if port.change_ownership(state.id, change, "request"):
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -327,6 +327,33 @@
     assert fleet.under_way()[machine] == record
 
 
+def test_requests_that_are_taken_back_turn_machines_back() -> None:
+    """By their withdrawal, and by another request the other way: nothing changes hands."""
+    fleet = running(jobs=40, run_s=60.0)
+    source, target = ask(fleet, 3)
+    fleet.run_until(lambda: len(fleet.under_way()) == 3, MOVE_S)
+    assert fleet.command("/shares/withdraw", {"RequestId": "r-1"}).body["Withdrawn"]
+    fleet.run_until(lambda: not fleet.under_way(), 3.0)
+    assert fleet.move(source, target, 3, "r-2").status == 200
+    fleet.run_until(lambda: len(fleet.under_way()) == 3, MOVE_S)
+    assert fleet.move(target, source, 3, "r-3").status == 200
+    fleet.run_until(lambda: not fleet.under_way(), 3.0)
+    fleet.run(fleet.now + 5.0)
+    assert not fleet.under_way()
+    assert not fleet.handovers
+
+
+def test_drain_stops_nothing_that_has_no_room_elsewhere() -> None:
+    fleet = running(jobs=44, run_s=60.0)  # more than there are machines
+    fleet.run(fleet.now + 10.0)
+    assert len(fleet.on) == 40
+    ask(fleet, 2, Mode="drain")
+    fleet.run_until(lambda: len(fleet.under_way()) == 2, MOVE_S)
+    fleet.run(fleet.now + 10.0)
+    assert len(fleet.under_way()) == 2
+    assert not fleet.stops
+
+
 def _second_request(machine: str, record: MachineOwnership, epoch: int) -> Any:
     from coursefold.shares.moves import Move, request
 
--- a/tests/test_shares_guards.py
+++ b/tests/test_shares_guards.py
@@ -14,6 +14,7 @@
 from coursefold.shares import moves
 from coursefold.shares.config import SharesConfig
 from coursefold.shares.shares import Shares
+from coursefold.shares.targets import Transfer
 from coursefold.storage import codec, records
 from coursefold.storage.edits import Change, NotApplicableError, Remove
 from coursefold.storage.share_records import MachineOwnership, MoveMode, MoveStage
@@ -252,6 +253,26 @@
     return MACHINE in rooms, MACHINE in rooms and rooms[MACHINE].draining
 
 
+@pytest.mark.parametrize("how", ["sick", "silent", "recalled", "kept for a gang"])
+def test_machines_that_are_not_chosen_for_a_move(how: str) -> None:
+    """The owner would refuse them too; but each would use up a move, and its time."""
+    world = Pair()
+    machine = world.core.ctx.machines[MACHINE]
+    assert [state.obstacle for state in world.shares.port.machines()] == [""]
+    if how == "sick":
+        machine.sick = True
+    elif how == "silent":
+        world.run(world.now + 8.0)
+    elif how == "recalled":
+        world.says([world.task()], RecallS=30.0)
+    else:
+        world.core.leader.wanted[MACHINE] = world.core.ctx.now + 9.0
+    states = world.shares.port.machines()
+    assert all(state.obstacle for state in states)
+    transfer = Transfer("n0", "n1", 1)
+    assert world.shares.planner.choose(transfer, states, 1) == []
+
+
 def time_is_over(world: Pair) -> None:
     world.moves_to("n1", until=EPOCH + world.now + 1.0)
 
