--- a/coursefold/shares/planner.py
+++ b/coursefold/shares/planner.py
@@ -242,7 +242,10 @@
     def choose(
         self, transfer: Transfer, members: Iterable[MachineState], count: int
     ) -> list[MachineState]:
-        """Machines that can be moved soonest: empty ones, then those with the fewest tasks."""
+        """Machines of the new owner's zone first, then those that can be moved soonest.
+
+        A cut between zones parts a machine from an owner in another one, as with the hash.
+        """
         port = self.port
         near = {member.zone for member in port.roster_members() if member.name == transfer.target}
         found = [
@@ -253,7 +256,7 @@
             and state.id not in port.view.moves_under_way
             and self.paused.get(state.id, port.ctx.now) <= port.ctx.now
         ]
-        found.sort(key=lambda s: (s.tasks, s.zone not in near, s.id))
+        found.sort(key=lambda s: (s.zone not in near, s.tasks, s.id))
         return found[: max(0, count)]
 
     def _request(
--- a/tests/test_shares_guards.py
+++ b/tests/test_shares_guards.py
@@ -13,6 +13,7 @@
 from coursefold.settings import Settings
 from coursefold.shares import moves
 from coursefold.shares.config import SharesConfig
+from coursefold.shares.port import MachineState
 from coursefold.shares.shares import Shares
 from coursefold.shares.targets import Transfer
 from coursefold.storage import codec, records
@@ -273,6 +274,19 @@
     assert world.shares.planner.choose(transfer, states, 1) == []
 
 
+def test_machines_of_the_new_owners_zone_go_first_and_empty_ones_among_them() -> None:
+    world = Pair()
+    state = MachineState("i-1", "g2", "a", "n0", 0, True, "")
+    states = [
+        state,
+        state._replace(id="i-2", zone="b", tasks=2),
+        state._replace(id="i-3", zone="b"),
+        state._replace(id="i-4", owner="n2"),
+    ]
+    found = world.shares.planner.choose(Transfer("n0", "n1", 9), states, 9)
+    assert [s.id for s in found] == ["i-3", "i-2", "i-1"]
+
+
 def time_is_over(world: Pair) -> None:
     world.moves_to("n1", until=EPOCH + world.now + 1.0)
 
