--- a/coursefold/shares/schedule.py
+++ b/coursefold/shares/schedule.py
@@ -8,6 +8,7 @@
 
 IsHoliday = Callable[[date], bool]
 ONE_DAY = timedelta(days=1)
+MINUTE_S = 60.0
 
 
 def holiday_calendar(country: str) -> IsHoliday:
@@ -27,11 +28,20 @@
         self.file = file
         self.timezone = ZoneInfo(file.timezone)
         self.is_holiday = holiday_calendar(file.holidays)
+        self._minute = -1
+        self._open: Window | None = None
 
     def window_at(self, wall: float) -> Window | None:
-        """The window that is open; at most one is, as the file was checked for."""
-        local = datetime.fromtimestamp(wall, self.timezone)
-        return next((w for w in self.file.windows if self._is_open(w, local)), None)
+        """The window that is open; at most one is, as the file was checked for.
+
+        Looked for once a minute, which is what windows are written in.
+        """
+        minute = int(wall // MINUTE_S)
+        if minute != self._minute:
+            local = datetime.fromtimestamp(wall, self.timezone)
+            self._minute = minute
+            self._open = next((w for w in self.file.windows if self._is_open(w, local)), None)
+        return self._open
 
     def _is_open(self, window: Window, local: datetime) -> bool:
         start, end = parse_clock(window.start), parse_clock(window.end)
