--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from pathlib import Path
+from typing import Any
 
 from review.links import Link
 from review.sites import GALWAY, barcode_verify, label_serve
@@ -18,14 +19,20 @@
 SPILL_JOB, SERVICE = "job-000002", "job-000001"
 
 
+def params_of(zone: str) -> dict[str, Any]:
+    """Return the site's settings for a cell that lies in one of its zones."""
+    return GALWAY | {"zones": [zone], "catalog": [GALWAY["catalog"][0] | {"Sites": [zone]}]}
+
+
 class Cells:
     """Two cells and the links between their controllers."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
-        params = GALWAY | {"catalog": [GALWAY["catalog"][0] | {"Sites": ["galway-room"]}]}
-        self.home = World(record, "galway", capacity=1, params=params)
-        self.guest = World(record, "dublin", capacity=4, params=params, shared=self.home)
+        self.home = World(record, "galway", capacity=1, params=params_of("galway-room"))
+        self.guest = World(
+            record, "dublin", capacity=4, params=params_of("dublin-colo"), shared=self.home
+        )
         self.worlds = {"galway": self.home, "dublin": self.guest}
         self.ports = {
             name: [world.free_port(HOSTS[name]) for _ in world.members]
--- a/review/standins.py
+++ b/review/standins.py
@@ -745,6 +745,7 @@
 
 def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[int]]) -> None:
     """Run a case and exit with its code; TROUBLE=0 leaves the disruption out."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # ends what was started, too
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"start, trouble {'on' if trouble else 'off'}")
