Log and /healthz: slow steps, what was loaded, why a job was taken back

It did not say which kinds of record a starting controller had loaded, on what a home cell relied when it took a job back, or which step kept the event loop.

- `loaded N records at revision R` counts the keys by kind.
- `grants to CELL: ...` precedes a job that is taken back without a report.
- `slow step: KIND took S s` from 0.5 s of processor time on; `/healthz` has the slowest step of each kind (`slowest_steps_ms`).

Behaviour is unchanged. An unused attribute of Service is gone.

--- a/coursefold/cells/home.py
+++ b/coursefold/cells/home.py
@@ -7,6 +7,7 @@
 tasks running after that.
 """
 
+import logging
 from collections import Counter
 from typing import NamedTuple
 
@@ -26,6 +27,8 @@
 from coursefold.storage.edits import LOW_PRIORITY
 from coursefold.storage.records import JobRecord
 
+log = logging.getLogger(__name__)
+
 CHOOSE_INTERVAL_S = 1.0
 PROGRESS_INTERVAL_S = 0.5  # between two commits of progress, each of one job
 OFFER_TIMEOUT_S = 6.0  # an unanswered offer is then returned, as nothing was granted
@@ -109,6 +112,7 @@
         elif guest_state is not None and guest_state.stage == GuestStage.RELEASED:
             self._return_job(name, delegation, handle, self._return_reason(delegation), guest_state)
         elif self._has_grant_expired(delegation.guest_cell):
+            log.info("grants to %s: %s", delegation.guest_cell, self._describe_grant(delegation))
             self._return_job(
                 name, delegation, handle, "the cell was not heard until its grant was over"
             )
@@ -256,6 +260,15 @@
         span_s = (link.granted_s + link.granted_lease_s) * CLOCK_DRIFT_FACTOR + margin_s
         return self.ctx.now - seen.seen_at > span_s
 
+    def _describe_grant(self, delegation: Delegation) -> str:
+        """Return what this process knows of the last grant to a delegation's cell, for the log."""
+        link = self.view.cell_links.get(delegation.guest_cell)
+        seen = self.seen_grants.get(delegation.guest_cell)
+        if link is None or seen is None:
+            return f"none is known (job {delegation.stage.name.lower()})"
+        ended_s = self.ctx.wall_time - link.granted_until
+        return f"ended {ended_s:.1f} s ago, first seen {self.ctx.now - seen.seen_at:.1f} s ago"
+
     def _renew_grant(self, cell: RemoteCell) -> None:
         """Extend the grant to a cell that has jobs of this cell.
 
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -22,9 +22,10 @@
 from coursefold.protocol.ids import JobId, MonotonicTime, WallTime
 from coursefold.protocol.wire import DirectCommands, KeyRow, WatchResponse, encode
 from coursefold.settings import Settings
+from coursefold.step_times import StepTimes
 from coursefold.storage import codec, record_parts, records
 from coursefold.storage.batches import Batch
-from coursefold.storage.records import Ending, ending_key
+from coursefold.storage.records import Ending, count_by_kind, ending_key
 from coursefold.transport.http_client import HttpClient, NoResponseError
 from coursefold.transport.peers import PeerSender, PeerServer
 from coursefold.transport.server import Server
@@ -76,6 +77,7 @@
         lease_duration_ms: Duration of this process's lease, in ms.
         background_tasks: The running asyncio tasks.
         commits_in_flight: The number of transactions without a response.
+        step_times: Processor time of the steps on the event loop.
     """
 
     def __init__(
@@ -144,7 +146,7 @@
         self.tick_requested = asyncio.Event()
         self.background_tasks: set[asyncio.Task[None]] = set()
         self.commits_in_flight = 0
-        self.lease_granted = asyncio.Event()  # unused
+        self.step_times = StepTimes()
 
     def _create_cell_transport(self, config: "CellsConfig") -> "CellTransport":
         # Imported here because the libraries take memory, which only cells need.
@@ -154,8 +156,9 @@
         cells = Cells(config, self.core)
 
         def handle_frame(frame: bytes, address: str) -> bool:
-            self._enter_core()
-            keep_connection = cells.receive_frame(frame, address)
+            with self.step_times.measure("cell frame"):
+                self._enter_core()
+                keep_connection = cells.receive_frame(frame, address)
             self._request_tick()
             return keep_connection
 
@@ -248,25 +251,29 @@
                 core.forget_ticket(ticket)
                 self.server.respond(ticket, 503, {"error": "busy"}, 1)
             self._carry_out_effects()
-            tick_cpu_s = min(1.0, time.process_time() - started_at)
+            step_cpu_s = time.process_time() - started_at
+            self.step_times.record("tick", step_cpu_s)
+            tick_cpu_s = min(1.0, step_cpu_s)
 
     # HTTP
 
     def _handle_request(self, ticket: int, method: str, path: str, body: bytes) -> None:
-        core = self._enter_core()
-        try:
-            self._route(core, ticket, method, path, body)
-        except Exception:
-            log.exception("request failed: %s %s", method, path[:100])
-            self.server.respond(ticket, 500, {"error": "internal"})
-        self._carry_out_effects()
+        with self.step_times.measure("request"):
+            core = self._enter_core()
+            try:
+                self._route(core, ticket, method, path, body)
+            except Exception:
+                log.exception("request failed: %s %s", method, path[:100])
+                self.server.respond(ticket, 500, {"error": "internal"})
+            self._carry_out_effects()
 
     def _route(self, core: Core, ticket: int, method: str, path: str, body: bytes) -> None:
         if path == "/agent/beat" and method == "POST":
             core.handle_report(body, ticket)
         elif path == "/healthz" and method == "GET":
             healthy = core.is_healthy()
-            self.server.respond(ticket, 200 if healthy else 503, core.health_status())
+            status = core.health_status() | {"slowest_steps_ms": self.step_times.health_status()}
+            self.server.respond(ticket, 200 if healthy else 503, status)
         elif path == "/work" and method == "POST":
             core.submit(body, ticket)
         elif path.startswith("/shares/") and method == "POST":
@@ -291,8 +298,9 @@
         return self._enter_core().next_frame(member)
 
     def _receive_frame(self, frame: bytes, address: str) -> bool:
-        keep_connection = self._enter_core().receive_frame(frame)
-        self._carry_out_effects()
+        with self.step_times.measure("sibling frame"):
+            keep_connection = self._enter_core().receive_frame(frame)
+            self._carry_out_effects()
         self._request_tick()
         return keep_connection
 
@@ -316,8 +324,9 @@
         except NoResponseError as error:
             log.debug("cloud request failed: %s", error)
             status, response = 0, b""
-        self._enter_core().receive_cloud_response(call.call_id, status, response)
-        self._carry_out_effects()
+        with self.step_times.measure("cloud response"):
+            self._enter_core().receive_cloud_response(call.call_id, status, response)
+            self._carry_out_effects()
         self._request_tick()
 
     async def _send_commands(self, effect: SendCommands) -> None:
@@ -381,10 +390,14 @@
             try:
                 if since < 0:
                     rows, since = await self._load_records()
-                    self._enter_core()
-                    view.reload([(row.key, row.value, row.version) for row in rows], since)
+                    with self.step_times.measure("load"):
+                        self._enter_core()
+                        view.reload([(row.key, row.value, row.version) for row in rows], since)
                     ctx.watch_ok_at = max(ctx.watch_ok_at, sent_at)
-                    log.info("loaded %d records at revision %d", len(rows), since)
+                    log.info(
+                        "loaded %d records at revision %d: %s",
+                        len(rows), since, count_by_kind(row.key for row in rows),
+                    )  # fmt: skip
                     self._request_tick()
                     continue
                 changes = await self.state_client.watch(records.ROOT, since, WATCH_WAIT_MS)
@@ -401,12 +414,13 @@
     def _apply_changes(self, changes: WatchResponse, sent_at: MonotonicTime) -> int:
         """Apply changes to the view, which is then as new as `sent_at`; return their revision."""
         view, ctx = self.core.view, self.core.ctx
-        self._enter_core()
-        for update in changes.updates:
-            if update.set_key is not None:
-                view.apply_value(update.set_key, update.value, update.version)
-            elif update.removed_key is not None:
-                view.apply_removal(update.removed_key, update.version)
+        with self.step_times.measure("watch"):
+            self._enter_core()
+            for update in changes.updates:
+                if update.set_key is not None:
+                    view.apply_value(update.set_key, update.value, update.version)
+                elif update.removed_key is not None:
+                    view.apply_removal(update.removed_key, update.version)
         view.revision = max(view.revision, changes.revision)
         ctx.watch_ok_at = max(ctx.watch_ok_at, sent_at)
         if changes.updates:
@@ -474,8 +488,9 @@
                     self.commit_requested.set()
                     break
             while self.commits_in_flight < MAX_COMMITS_IN_FLIGHT:
-                self._enter_core()
-                batch = queue.next_batch(read_clock())
+                with self.step_times.measure("batch"):
+                    self._enter_core()
+                    batch = queue.next_batch(read_clock())
                 if batch is None:
                     break
                 self.commits_in_flight += 1
--- a/coursefold/storage/records.py
+++ b/coursefold/storage/records.py
@@ -8,6 +8,9 @@
 size of one value, which are compressed and split over several keys (`record_parts`).
 """
 
+from collections import Counter
+from collections.abc import Iterable
+
 from msgspec import Struct
 
 from coursefold.protocol.ids import JobId, Key, MemberName
@@ -78,6 +81,14 @@
     return Key(VERSION_PREFIX + member)
 
 
+def count_by_kind(keys: Iterable[str]) -> str:
+    """Return how many of the keys there are of each kind, e.g. `2 cf/c/, 1 cf/level, 9 cf/j/`."""
+    kinds = Counter(
+        key if "/" not in key.removeprefix(ROOT) else ROOT + key.split("/")[1] + "/" for key in keys
+    )
+    return ", ".join(f"{count} {kind}" for kind, count in sorted(kinds.items()))
+
+
 class MemberVersion(Struct, array_like=True, frozen=True):
     """The format level that a controller's process can read and write.
 
