Loading of records in a module of its own, used by simulated controllers too

Need: the simulated controllers loaded every key by a rule of their own, and in one piece, so that no test could show what a starting process does not load.

`storage/loading.py` plans the pages of a full load and applies changes, without I/O. Service, `tests/fleet_node.py`, `tests/world.py` and the upgrade tests run it; simulated loads take several pages, with other controllers' writes between. What is loaded is as before. An empty page that announces more is an error now and no longer taken for the end of the list.

The delays between simulated pages are drawn from a generator of their own: the common one would give every later event of a test another draw.

--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -25,6 +25,7 @@
 from coursefold.step_times import StepTimes
 from coursefold.storage import codec, record_parts, records
 from coursefold.storage.batches import Batch
+from coursefold.storage.loading import IncompleteLoadError, RecordLoader, apply_changes
 from coursefold.storage.records import Ending, count_by_kind, ending_key
 from coursefold.transport.http_client import HttpClient, NoResponseError
 from coursefold.transport.peers import PeerSender, PeerServer
@@ -382,22 +383,14 @@
 
     async def _watch_changes(self) -> None:
         """Load all records, then watch for changes; load again when the revision is too old."""
-        view = self.core.view
         ctx = self.core.ctx
         since = -1
         while True:
             sent_at = read_clock()
             try:
                 if since < 0:
-                    rows, since = await self._load_records()
-                    with self.step_times.measure("load"):
-                        self._enter_core()
-                        view.reload([(row.key, row.value, row.version) for row in rows], since)
+                    since = await self._load_records()
                     ctx.watch_ok_at = max(ctx.watch_ok_at, sent_at)
-                    log.info(
-                        "loaded %d records at revision %d: %s",
-                        len(rows), since, count_by_kind(row.key for row in rows),
-                    )  # fmt: skip
                     self._request_tick()
                     continue
                 changes = await self.state_client.watch(records.ROOT, since, WATCH_WAIT_MS)
@@ -407,21 +400,16 @@
                 since = max(since, self._apply_changes(changes, sent_at))
                 if changes.updates:
                     await asyncio.sleep(self.watch_pause_s)
-            except UnavailableError as error:
+            except (UnavailableError, IncompleteLoadError) as error:
                 log.debug("loading or watching records failed: %s", error)
                 await asyncio.sleep(add_jitter(0.3))
 
     def _apply_changes(self, changes: WatchResponse, sent_at: MonotonicTime) -> int:
         """Apply changes to the view, which is then as new as `sent_at`; return their revision."""
-        view, ctx = self.core.view, self.core.ctx
+        ctx = self.core.ctx
         with self.step_times.measure("watch"):
             self._enter_core()
-            for update in changes.updates:
-                if update.set_key is not None:
-                    view.apply_value(update.set_key, update.value, update.version)
-                elif update.removed_key is not None:
-                    view.apply_removal(update.removed_key, update.version)
-        view.revision = max(view.revision, changes.revision)
+            apply_changes(self.core.view, changes)
         ctx.watch_ok_at = max(ctx.watch_ok_at, sent_at)
         if changes.updates:
             self._request_tick()
@@ -462,15 +450,19 @@
             await asyncio.sleep(add_jitter(0.15))
         raise AssertionError("not reached")
 
-    async def _load_records(self) -> tuple[list[KeyRow], int]:
-        """Return the records to keep in memory, and a revision that they are at least as new as.
-
-        The listing starts after the archived endings, which would take too much memory. The
-        catalog's key sorts before them, so it takes a request of its own.
-        """
-        found, revision = await self.state_client.list_rows(records.CATALOG_KEY)
-        rows, _ = await self.state_client.list_rows(records.ROOT, after=records.ENDING_PREFIX + "~")
-        return found + rows, revision
+    async def _load_records(self) -> int:
+        """Load all records into the view; return the revision that it is at least as new as."""
+        loader = RecordLoader()
+        while (request := loader.next_request()) is not None:
+            loader.receive_page(await self.state_client.list_page(request))
+        with self.step_times.measure("load"):
+            self._enter_core()
+            loader.store_in(self.core.view)
+        log.info(
+            "loaded %d records at revision %d: %s",
+            len(loader.rows), loader.revision, count_by_kind(row.key for row in loader.rows),
+        )  # fmt: skip
+        return loader.revision
 
     async def _commit_batches(self) -> None:
         """Commit the queue's batches, a few at a time, and reread keys with uncertain values."""
@@ -539,7 +531,7 @@
             if row is not None:
                 parts: list[KeyRow] = []
                 if isinstance(row.value, dict):
-                    parts, _ = await self.state_client.list_rows(record_parts.part_key_prefix(key))
+                    parts = await self.state_client.list_rows(record_parts.part_key_prefix(key))
                 self._enter_core()
                 view.apply_value(key, row.value, row.version)
                 for part in parts:
--- a/coursefold/transport/state.py
+++ b/coursefold/transport/state.py
@@ -19,6 +19,7 @@
     encode,
 )
 from coursefold.storage.limits import TokenBucket
+from coursefold.storage.loading import PAGE_SIZE, PageRequest
 from coursefold.transport.http_client import HttpClient, NoResponseError
 
 log = logging.getLogger(__name__)
@@ -119,29 +120,28 @@
         status, response = await self._send("GET", f"/keys/{key}")
         return self._decode(response, KeyRow) if status == 200 else None
 
-    async def list_rows(self, prefix: str, after: str = "") -> tuple[list[KeyRow], int]:
-        """Return all keys with a prefix, and a revision that the list includes all changes of.
-
-        Args:
-            prefix: The prefix.
-            after: The keys up to this one are left out.
-        """
+    async def list_rows(self, prefix: str) -> list[KeyRow]:
+        """Return all keys with a prefix."""
         found: list[KeyRow] = []
-        first_revision = 0
+        after = ""
         while True:
-            query = {"Prefix": prefix, "Page": "1000"}
-            if after:
-                query["From"] = after
-            status, response = await self._send("GET", "/keys?" + urlencode(query, safe="/"))
-            if status != 200:
-                raise UnavailableError(f"listing keys: status {status}", status)
-            page = self._decode(response, KeyRows)
-            first_revision = first_revision or page.revision
+            page = await self.list_page(PageRequest(prefix, after, PAGE_SIZE))
             found.extend(page.rows)
             if not page.has_more or not page.rows:
-                return found, first_revision
+                return found
             after = page.rows[-1].key
 
+    async def list_page(self, request: PageRequest) -> KeyRows:
+        """Return one page of keys."""
+        query = {"Prefix": request.prefix, "Page": str(request.page_size)}
+        if request.after:
+            query["From"] = request.after
+        status, response = await self._send("GET", "/keys?" + urlencode(query, safe="/"))
+        if status != 200:
+            raise UnavailableError(f"listing keys: status {status}", status)
+        page: KeyRows = self._decode(response, KeyRows)
+        return page
+
     async def watch(self, prefix: str, since: int, wait_ms: int) -> WatchResponse | None:
         """Return the changes after a revision.
 
--- a/tests/fleet_node.py
+++ b/tests/fleet_node.py
@@ -1,5 +1,6 @@
 """A controller of the simulated cluster; replaces `coursefold.service` without sockets."""
 
+import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -7,9 +8,10 @@
 
 from coursefold.coordination.effects import ReadJobResult, Response
 from coursefold.protocol.ids import JobId, MonotonicTime, WallTime
-from coursefold.protocol.wire import encode
+from coursefold.protocol.wire import KeyRows, WatchResponse, encode
 from coursefold.storage import records
 from coursefold.storage.batches import Batch
+from coursefold.storage.loading import RecordLoader, apply_changes
 from tests.fleet_jobs import RuleBrokenError
 from tests.production import OURS
 from tests.world import EPOCH, SETTINGS
@@ -18,6 +20,8 @@
     from tests.fleet import Fleet
 
 LEASE_MS = 2500
+LOAD_PAGE_SIZE = 10  # keys; small, so that a load takes several pages
+KEPT_CHANGES = 9000  # of the state service, in revisions
 TICK_S = 0.2
 ZONES = ("a", "b")
 
@@ -31,7 +35,9 @@
         frozen_until: The process is suspended until then.
         incarnation: Number of the current process; changes with each start and stop.
         skew: Seconds by which the controller's wall clock is ahead.
-        seen_revision: Revision up to which the view is loaded; -1 before the first load.
+        seen_revision: Revision up to which changes were watched; -1 before a load.
+        loader: The load in progress, as in `coursefold.service`; None if there is none.
+        load_rng: Draws the delays between the pages of a load.
         pending_requests: Functions that take the response, by ticket.
         in_flight: Transactions sent and not answered.
     """
@@ -43,6 +49,7 @@
         self.incarnation = 0
         self.up = False
         self.skew = world.rng.uniform(-0.02, 0.02)
+        self.load_rng = random.Random(number)
         self.version = world.version
         self.start()
 
@@ -64,6 +71,7 @@
         self.core = self.version.Core(self.settings())
         self.world.node_started(self)
         self.seen_revision = -1
+        self.loader: RecordLoader | None = None
         self.pending_requests: dict[int, Callable[[Response | None], None]] = {}
         self.tickets = 0
         self.in_flight = 0
@@ -132,22 +140,47 @@
     def _watch(self) -> None:
         """Load the view, or apply the changes since the revision last seen.
 
-        The view is loaded anew if it is more than 9000 revisions behind.
+        The view is loaded anew if the state service does not keep all changes since then.
         """
-        if not self.state_up():
+        if self.loader is not None or not self.state_up():
+            return
+        if self.seen_revision < 0 or self.seen_revision < self.world.store.revision - KEPT_CHANGES:
+            self.seen_revision = -1
+            self.loader = RecordLoader(LOAD_PAGE_SIZE)
+            self._load_page(self.loader, self.enter().ctx.now, self.incarnation)
+        else:
+            self._apply_changes()
+
+    def _load_page(self, loader: RecordLoader, started_at: float, incarnation: int) -> None:
+        """Read the next page of a load; other controllers may write between two pages."""
+        if self.incarnation != incarnation or self.defer_while_frozen(
+            lambda: self._load_page(loader, started_at, incarnation)
+        ):
+            return
+        request = loader.next_request()
+        if request is not None and self.state_up():
+            loader.receive_page(msgspec.convert(self.world.store.page(*request), KeyRows))
+            self.enter().ctx.state_ok_at = MonotonicTime(1000.0 + self.world.now)
+            delay = self.load_rng.uniform(0.002, 0.02)
+            self.world.after(delay, lambda: self._load_page(loader, started_at, incarnation))
             return
+        self.loader = None
+        if request is not None:
+            return  # the state service was lost; the next watch starts anew
+        core = self.enter()
+        loader.store_in(core.view)
+        self.seen_revision = loader.revision
+        core.ctx.watch_ok_at = max(core.ctx.watch_ok_at, MonotonicTime(started_at))
+
+    def _apply_changes(self) -> None:
+        """Apply all changes that the view lacks."""
         core, store = self.enter(), self.world.store
-        view = core.view
-        if self.seen_revision < 0 or self.seen_revision < store.revision - 9000:
-            rows = [row for row in store.rows(records.ROOT) if "/e/" not in row["K"]]
-            view.reload([(row["K"], row["Value"], row["Stamp"]) for row in rows], store.revision)
-        elif self.seen_revision < store.revision:
-            for change in store.since(self.seen_revision, records.ROOT):
-                if "Set" in change:
-                    view.apply_value(change["Set"], change["Value"], change["Stamp"])
-                else:
-                    view.apply_removal(change["Remove"], change["Stamp"])
-        self.seen_revision = view.revision = store.revision
+        if core.view.revision < store.revision:
+            changes = store.since(core.view.revision, records.ROOT)
+            response = {"Ledger": store.revision, "News": changes}
+            apply_changes(core.view, msgspec.convert(response, WatchResponse))
+        if self.seen_revision >= 0:
+            self.seen_revision = core.view.revision
         core.ctx.watch_ok_at = core.ctx.state_ok_at = MonotonicTime(1000.0 + self.world.now)
 
     def _tick(self) -> None:
@@ -183,11 +216,12 @@
         tickets, self.core.requests_awaiting_refresh = self.core.requests_awaiting_refresh, []
         if not tickets:
             return
-        if not self.state_up():
+        is_kept = self.core.view.revision >= self.world.store.revision - KEPT_CHANGES
+        if not is_kept or not self.state_up():
             for ticket in tickets:
                 self.core.read_failed(ticket)
             return
-        self._watch()
+        self._apply_changes()
         self.core.view_refreshed(tickets)
 
     def _read(self, read: ReadJobResult) -> None:
@@ -205,7 +239,7 @@
         world, queue = self.world, self.core.queue
         now = MonotonicTime(1000.0 + world.now)
         if queue.stale and self.state_up():
-            self._watch()
+            self._apply_changes()
             for key in queue.stale_keys():
                 ended = world.store.row(key.replace(records.JOB_PREFIX, records.ENDING_PREFIX))
                 if key.startswith(records.JOB_PREFIX) and key not in world.store.keys and ended:
--- a/tests/standins/servers.py
+++ b/tests/standins/servers.py
@@ -60,8 +60,9 @@
             row = store.row(key.lstrip("/"))
             self.reply(200, row) if row else self.reply(404, {"Ledger": store.revision})
             return
-        rows = store.rows(self.get_argument("Prefix"), self.get_argument("From", ""))
-        self.reply(200, {"Rows": rows, "More": False, "Ledger": store.revision})
+        page_size = int(self.get_argument("Page", "1000"))
+        after = self.get_argument("From", "")
+        self.reply(200, store.page(self.get_argument("Prefix"), after, page_size))
 
 
 class CommitHandler(Handler):
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -111,6 +111,13 @@
         matching = [k for k in sorted(self.keys) if k.startswith(prefix) and k > after]
         return [row for k in matching if (row := self.row(k)) is not None]
 
+    def page(self, prefix: str, after: str, page_size: int) -> dict[str, Any]:
+        """Return one page of keys, as in the responses to GET /keys."""
+        rows = self.rows(prefix, after)
+        return {
+            "Rows": rows[:page_size], "More": len(rows) > page_size, "Ledger": self.revision,
+        }  # fmt: skip
+
     def since(self, revision: int, prefix: str) -> list[dict[str, Any]]:
         """Return the changes of keys with a prefix after a revision."""
         return [
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -33,7 +33,7 @@
 from tests import test_fleet as days
 from tests.fleet import NODES, Fleet, RuleBrokenError
 from tests.production import OURS, ROOT, Version, read_production_commit
-from tests.world import JOB, World
+from tests.world import JOB, World, load_view
 
 SPEC = decode(encode(JOB | {"NameId": "job-1", "Pieces": 4}), Job)
 LOWER_LIMITS = {"value_kb": 2.0, "txn_ops": 5, "write_rps": 40.0}
@@ -122,7 +122,7 @@
     assert world.core.ctx.is_leading()
     assert str(records.CATALOG_KEY) not in world.store.keys
     view = old.view.View()
-    view.reload([(r["K"], r["Value"], r["Stamp"]) for r in world.store.rows("cf/")], 99)
+    load_view(view, world.store)
     assert view.roster is None
     assert view.catalog is None
     assert (
@@ -348,8 +348,7 @@
     def load_view(self) -> View:
         """Return the view that a controller loads when it starts now."""
         view = View()
-        rows = [(r["K"], r["Value"], r["Stamp"]) for r in self.store.rows("cf/")]
-        view.reload(rows, self.store.revision)
+        load_view(view, self.store)
         return view
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,14 +21,17 @@
 )
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, MonotonicTime, WallTime
-from coursefold.protocol.wire import Catalog, encode
+from coursefold.protocol.wire import Catalog, KeyRows, WatchResponse, encode
 from coursefold.settings import Settings
 from coursefold.storage import codec, records
+from coursefold.storage.loading import RecordLoader, apply_changes
 from coursefold.storage.records import Ending
+from coursefold.storage.view import View
 from tests.standins.state import StateStore
 
 EPOCH = 1_700_000_000.0  # wall time at simulated time 0
 LEASE_MS = 3000
+LOAD_PAGE_SIZE = 3  # keys; small, so that a load takes several pages
 
 SETTINGS: dict[str, Any] = {
     "member": "n0",
@@ -78,6 +81,14 @@
 }  # fmt: skip
 
 
+def load_view(view: View, store: StateStore) -> None:
+    """Load a view from a state service, as a controller does when it starts."""
+    loader = RecordLoader(LOAD_PAGE_SIZE)
+    while (request := loader.next_request()) is not None:
+        loader.receive_page(msgspec.convert(store.page(*request), KeyRows))
+    loader.store_in(view)
+
+
 class World:
     """The controller `n0`, a state service, a cloud, and the simulated clock.
 
@@ -174,17 +185,11 @@
             return
         view = self.core.view
         if self.seen_revision < 0:
-            rows = [row for row in self.store.rows(records.ROOT) if "/e/" not in row["K"]]
-            view.reload(
-                [(row["K"], row["Value"], row["Stamp"]) for row in rows], self.store.revision
-            )
-        else:
-            for change in self.store.since(self.seen_revision, records.ROOT):
-                if "Set" in change:
-                    view.apply_value(change["Set"], change["Value"], change["Stamp"])
-                else:
-                    view.apply_removal(change["Remove"], change["Stamp"])
-        self.seen_revision = view.revision = self.store.revision
+            load_view(view, self.store)
+        changes = self.store.since(view.revision, records.ROOT)
+        response = {"Ledger": self.store.revision, "News": changes}
+        apply_changes(view, msgspec.convert(response, WatchResponse))
+        self.seen_revision = view.revision
         self.core.ctx.watch_ok_at = MonotonicTime(100.0 + self.now)
 
     def _commit(self) -> bool:
