--- a/coursefold/storage/loading.py
+++ b/coursefold/storage/loading.py
@@ -29,10 +29,10 @@
 
 
 class RecordLoader:
-    """Loads the records to keep in memory.
+    """Loads every key below `records.ROOT` but the archived endings, which take too much memory.
 
-    The listing starts after the archived endings, which would take too much memory. The catalog's
-    key sorts before them, so it takes a request of its own.
+    Only what is left out is named, so that no kind of record can be missing: a record that a
+    controller does not have after loading counts as one that does not exist.
 
     Attributes:
         rows: The rows read so far.
@@ -45,11 +45,11 @@
         self.rows: list[KeyRow] = []
         self.revision = 0
         self.is_complete = False
-        self._ranges = [(str(records.CATALOG_KEY), ""), (records.ROOT, AFTER_ENDINGS)]
+        self._after = ""
 
     def next_request(self) -> PageRequest | None:
         """Return the next page to read; None once all have been read."""
-        return None if self.is_complete else PageRequest(*self._ranges[0], self.page_size)
+        return None if self.is_complete else PageRequest(records.ROOT, self._after, self.page_size)
 
     def receive_page(self, page: KeyRows) -> None:
         """Take the response to the last request.
@@ -58,15 +58,14 @@
             IncompleteLoadError: The page is empty although there is more to read.
         """
         self.revision = self.revision or page.revision
-        self.rows.extend(page.rows)
-        prefix, after = self._ranges[0]
+        self.rows.extend(row for row in page.rows if not row.key.startswith(records.ENDING_PREFIX))
         if not page.has_more:
-            del self._ranges[0]
-            self.is_complete = not self._ranges
-        elif not page.rows:
-            raise IncompleteLoadError(f"no rows after {after!r}, though there are more")
-        else:
-            self._ranges[0] = (prefix, page.rows[-1].key)
+            self.is_complete = True
+            return
+        if not page.rows:
+            raise IncompleteLoadError(f"no rows after {self._after!r}, though there are more")
+        last_key = page.rows[-1].key
+        self._after = AFTER_ENDINGS if last_key.startswith(records.ENDING_PREFIX) else last_key
 
     def store_in(self, view: View) -> None:
         """Replace a view's records with the loaded ones.
