--- a/coursefold/cells/home.py
+++ b/coursefold/cells/home.py
@@ -247,12 +247,15 @@
 
         Both clocks must agree: the time of day, and the monotonic clock, counted from when this
         process first saw the last grant's record. So setting the time of day forwards does not
-        return a job early.
+        return a job early. A job is granted only under a recorded grant, so without a readable
+        record the end of the grant is unknown.
         """
         link = self.view.cell_links.get(cell)
         seen = self.seen_grants.get(cell)
-        if link is None or seen is None or not link.granted_until:
-            return True  # nothing was ever granted
+        if self.port.has_unreadable_link(cell) or link is None or seen is None:
+            return False
+        if not link.granted_until:
+            return False
         skew_s = SKEWED_CLOCK_COUNT * self.ctx.settings.params.skew_ms / 1000.0
         margin_s = skew_s + EXPIRY_MARGIN_S
         if self.ctx.wall_time < link.granted_until + link.granted_lease_s + margin_s:
--- a/coursefold/cells/port.py
+++ b/coursefold/cells/port.py
@@ -124,6 +124,10 @@
         key = job_key(name)
         return key in self.view.unreadable_keys or self.view.has_missing_parts(key)
 
+    def has_unreadable_link(self, cell: str) -> bool:
+        """Return whether the newest record of grants to and from the cell cannot be read."""
+        return cell_link_key(cell) in self.view.unreadable_keys
+
     def has_pending_change(self, name: JobId) -> bool:
         """Return whether a change of the job's record is in flight."""
         return self.core.queue.is_busy(job_key(name))
--- a/tests/test_cells_input.py
+++ b/tests/test_cells_input.py
@@ -529,6 +529,25 @@
     assert not cells.home._has_grant_expired("east")
 
 
+@pytest.mark.parametrize("value", [None, ["soon"], [0.0, 0.0, 0.0, EPOCH, 12.0]])
+def test_a_grant_that_is_not_known_is_no_proof(value: Any) -> None:
+    """Guards against a granted job that home takes back, and starts, while it runs elsewhere.
+
+    There is no record of a grant, or its newest version can't be read, or it tells only of what
+    this cell was granted.
+    """
+    world = World()
+    cells = Cells(config(), world.core)
+    view = world.core.view
+    if value == ["soon"]:  # the version before it can be read, and its grant is over
+        view.store_record("cf/c/east", CellLink(EPOCH - 100.0, 12.0, 10.0), 1)
+    if value is not None:
+        view.apply_value("cf/c/east", value, 2)
+    cells.home.observe_grants()
+    world.enter().ctx.now = MonotonicTime(world.core.ctx.now + 3600.0)
+    assert not cells.home._has_grant_expired("east")
+
+
 # Reports about guest jobs
 
 
