Simulated loads: the changes follow the last page at once, as in the service

After its load a simulated process waited 0.12 s for its next watch, and a load took a delay after its last page too; the service watches at once. That shifted the first roster by seconds.

--- a/tests/fleet_node.py
+++ b/tests/fleet_node.py
@@ -158,19 +158,21 @@
         ):
             return
         request = loader.next_request()
-        if request is not None and self.state_up():
-            loader.receive_page(msgspec.convert(self.world.store.page(*request), KeyRows))
-            self.enter().ctx.state_ok_at = MonotonicTime(1000.0 + self.world.now)
+        if request is None or not self.state_up():
+            self.loader = None  # the state service was lost: the next watch starts anew
+            return
+        loader.receive_page(msgspec.convert(self.world.store.page(*request), KeyRows))
+        self.enter().ctx.state_ok_at = MonotonicTime(1000.0 + self.world.now)
+        if not loader.is_complete:
             delay = self.load_rng.uniform(0.002, 0.02)
             self.world.after(delay, lambda: self._load_page(loader, started_at, incarnation))
             return
         self.loader = None
-        if request is not None:
-            return  # the state service was lost; the next watch starts anew
         core = self.enter()
         loader.store_in(core.view)
         self.seen_revision = loader.revision
         core.ctx.watch_ok_at = max(core.ctx.watch_ok_at, MonotonicTime(started_at))
+        self._apply_changes()
 
     def _apply_changes(self) -> None:
         """Apply all changes that the view lacks."""
