--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from coursefold.coordination import gangs
+from coursefold.coordination.fleet_size import MAX_LIMIT_MACHINES
 from coursefold.coordination.placement import (
     EMPTY_PRICE_INDEX,
     FailedSearches,
@@ -182,11 +183,12 @@
             else 1.0
         )
 
-    def target_slots(self, eta: float) -> float:
+    def target_slots(self, eta: float, max_machines: int = MAX_LIMIT_MACHINES) -> float:
         """Return the target size: c*, raised to what placed and waiting tasks need.
 
         Args:
             eta: Weight of the wait against the cost, between 0 and 1.
+            max_machines: The most machines that the fleet may hold; limits c*.
         """
         arrival_rate = self.arrived_slots / self.window_s
         optimum = 0.0
@@ -198,6 +200,7 @@
                     self.price_per_slot_s,
                     eta,
                     self.batch_factor,
+                    max_machines * self.slots_per_machine,
                 )
             )
         needed = self.busy_slots + self.queued_slots + max(self.backlog_slots, self.gang_slots)
--- a/coursefold/coordination/pools.py
+++ b/coursefold/coordination/pools.py
@@ -16,6 +16,7 @@
     RunTimes,
     UnplacedTasks,
 )
+from coursefold.coordination.fleet_size import max_fleet_machines
 from coursefold.coordination.inventory import SPARE_REASON, Inventory
 from coursefold.coordination.leader import Leader
 from coursefold.coordination.loss_tracker import LossTracker
@@ -41,6 +42,7 @@
     """The control loops of all pools.
 
     Attributes:
+        max_machines: The most machines that the fleet may hold.
         pid_states: Last error (slots) and integral of each pool.
         run_times: Run times of finished tasks; shared with the leader.
         recent_arrivals: Jobs that arrived in the window: when (wall time), and what.
@@ -56,6 +58,7 @@
         self.inventory = inventory
         self.rentals = rentals
         self.parameters = ctx.policy.parameters
+        self.max_machines = max_fleet_machines(ctx.settings)
         self.gains = Gains(self.parameters.kp, self.parameters.ki, self.parameters.kd)
         self.reset()
 
@@ -196,7 +199,7 @@
 
     def _control(self, pool: PoolId, demand: PoolDemand, elapsed_s: float) -> None:
         ctx = self.ctx
-        target = demand.target_slots(self.parameters.eta)
+        target = demand.target_slots(self.parameters.eta, self.max_machines)
         size = demand.machine_count * demand.slots_per_machine
         is_booting = (pool.machine_type, pool.spot) in {
             (machine_type, spot) for machine_type, _, spot in self.leader.booting_offerings
--- /dev/null
+++ b/tests/test_numbers.py
@@ -0,0 +1,181 @@
+"""Numbers from outside must not decide what a step of a controller costs.
+
+Costs are processor time, so that a busy machine does not change the verdict.
+"""
+
+import itertools
+import math
+import time
+from typing import Any
+
+import pytest
+
+from coursefold.coordination.fleet_size import MIN_LIMIT_MACHINES, max_fleet_machines
+from coursefold.coordination.queueing import (
+    MAX_POOL_SLOTS,
+    SEARCH_LOAD_FACTOR,
+    SEARCH_MARGIN_SLOTS,
+    erlang_c,
+    find_optimal_servers,
+)
+from coursefold.step_times import SLOW_STEP_S
+from tests import world as simulated
+from tests.world import CATALOG, World
+
+HUGE = 1e12  # the highest amount that is accepted in any field
+TINY = 5e-324
+MACHINES = 20
+
+
+class TimedWorld(World):
+    """A world that notes the processor time of the slowest tick."""
+
+    slowest_tick_s = 0.0
+
+    def run(self, until: float) -> None:
+        """Advance the clock and time each tick."""
+        tick = type(self.core).tick.__get__(self.core)
+
+        def timed_tick() -> None:
+            started_at = time.process_time()
+            tick()
+            self.slowest_tick_s = max(self.slowest_tick_s, time.process_time() - started_at)
+
+        self.core.tick = timed_tick  # type: ignore[method-assign]
+        super().run(until)
+
+
+def play(jobs: list[dict[str, Any]]) -> TimedWorld:
+    """Play the first seconds of these jobs beside an ordinary one, on up to `MACHINES` machines."""
+    world = TimedWorld()
+    for number, fields in enumerate(jobs, 1):
+        answer = world.submit(f"job-{number}", **fields)
+        assert answer is not None
+        assert answer.status == 201
+    world.submit("job-900", Lane="other")
+    world.run(3.0)
+    for sequence in (1, 2, 3):
+        for machine in range(MACHINES):
+            world.report(f"i-9{machine:02d}", [], Counter=sequence)
+    world.run(8.0)
+    return world
+
+
+JOBS: dict[str, dict[str, Any]] = {
+    "nanoseconds": {"ExpectedS": 35e9},
+    "microseconds, largest array": {"ExpectedS": 35e6, "Pieces": 200},
+    "the highest estimate": {"ExpectedS": HUGE, "Pieces": 100_000},
+    "the lowest estimate": {"ExpectedS": TINY},
+    "image": {"ImageGb": HUGE},
+    "checkpoints": {"SnapshotEveryS": HUGE, "SnapshotS": HUGE},
+    "deadline": {"DueS": TINY},
+    "array": {"Pieces": 100_000},
+    "array in a zone": {"Pieces": 100_000, "Site": "a"},
+    "replicas in all zones": {"Pieces": 100_000, "Shape": "standing", "Apart": True},
+    "gang": {"Pieces": 100_000, "Shape": "ensemble"},
+    "gang in a zone": {"Pieces": 100_000, "Shape": "ensemble", "Site": "a", "Together": True},
+}
+
+
+@pytest.mark.parametrize("job_count", [1, 5])
+@pytest.mark.parametrize("fields", JOBS.values(), ids=JOBS)
+def test_a_jobs_numbers_do_not_decide_what_a_round_costs(
+    fields: dict[str, Any], job_count: int
+) -> None:
+    """Guards against one job that keeps every controller from answering (review/2)."""
+    world = play([fields] * job_count)
+    assert world.slowest_tick_s < SLOW_STEP_S
+    poll = world.poll("job-900")
+    assert poll is not None
+    assert poll.status == 200
+
+
+TYPES: dict[str, dict[str, Any]] = {
+    "cpus": {"Vcpus": HUGE, "Accelerators": 0.0},
+    "accelerators": {"Accelerators": HUGE},
+    "memory": {"MemoryGb": HUGE},
+    "free of charge": {"Hourly": 0.0, "LowPrice": 0.0},
+    "expensive": {"Hourly": HUGE, "LowPrice": HUGE},
+    "boot": {"BootS": HUGE},
+    "fetch": {"FetchGbPerS": TINY},
+}
+
+
+@pytest.mark.parametrize("estimate_s", [60.0, 35e9])
+@pytest.mark.parametrize("fields", TYPES.values(), ids=TYPES)
+def test_a_clouds_numbers_do_not_decide_what_a_round_costs(
+    fields: dict[str, Any], estimate_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    catalog = {"Builds": [CATALOG["Builds"][0] | fields]}
+    monkeypatch.setattr(simulated, "CATALOG", catalog)
+    world = play([{"ExpectedS": estimate_s, "Accelerators": 0.0, "Loaners": True}])
+    assert world.slowest_tick_s < SLOW_STEP_S
+
+
+def test_the_fleets_limit_follows_from_connections_and_is_no_less_than_4000_machines() -> None:
+    settings = World().core.ctx.settings
+    assert max_fleet_machines(settings) == MIN_LIMIT_MACHINES == 4000  # 3 times 900 connections
+
+
+# c*
+
+
+def find_by_all_steps(
+    arrival_rate: float, service_rate: float, price: float, eta: float, batch_factor: float
+) -> int:
+    """Return c* by the search that begins with one server, as it was before it had a limit."""
+    load = arrival_rate / service_rate
+    limit = SEARCH_MARGIN_SLOTS + int(SEARCH_LOAD_FACTOR * load)
+    lowest, blocking = math.inf, 1.0
+    for servers in range(1, limit):
+        blocking = load * blocking / (servers + load * blocking)
+        if servers <= load:
+            continue
+        utilization = load / servers
+        waiting = blocking / (1 - utilization + utilization * blocking)
+        wait_s = waiting / ((1 - utilization) * servers * service_rate)
+        length = waiting * utilization / (1 - utilization)
+        total = eta * batch_factor * wait_s + (1 - eta) * price * max(0.0, servers - length)
+        if total >= lowest:
+            return servers - 1
+        lowest = total
+    return limit
+
+
+LOADS = [0.01, 0.3, 1.0, 2.5, 10.0, 33.3, 250.0, 999.9, 1000.1, 2222.2, 12345.6]
+RUN_S = [5.0, 60.0, 3600.0]
+PRICES = [0.0, 1e-12, 1e-4, 7e-4, 0.02]
+
+
+@pytest.mark.parametrize("load", LOADS)
+def test_the_optimum_is_the_former_one_for_loads_of_ordinary_fleets(load: float) -> None:
+    """The search starts near the load and ends at a limit; neither may change c*."""
+    for run_s, price, eta, batch_factor in itertools.product(
+        RUN_S, PRICES, [0.00015, 0.0005, 0.5], [1.0, 60.0]
+    ):
+        arguments = (load / run_s, 1 / run_s, price, eta, batch_factor)
+        assert find_optimal_servers(*arguments) == find_by_all_steps(*arguments)
+
+
+def test_the_optimum_stays_within_the_slots_that_the_fleet_may_hold() -> None:
+    assert find_optimal_servers(50.0, 1 / 60, 7e-4, 0.0005, slot_limit=400) == 400
+    assert find_optimal_servers(3.0, 1 / 60, 0.0, 0.0005, slot_limit=190) == 190
+    assert find_optimal_servers(HUGE, TINY, 7e-4, 0.0005) == MAX_POOL_SLOTS
+
+
+@pytest.mark.parametrize("load", [0.5, 900.0, 1.1e6, HUGE])
+def test_the_probability_to_wait_is_found_in_few_steps(load: float) -> None:
+    started_at = time.process_time()
+    some = erlang_c(int(load + 2 * math.sqrt(load)) + 1, load)
+    none = erlang_c(10**15, load)
+    assert time.process_time() - started_at < SLOW_STEP_S
+    assert 0 < some < 1
+    assert none == 0
+
+
+def test_the_limit_of_many_servers_continues_the_recurrence() -> None:
+    """Both forms agree where one takes over from the other."""
+    below, above = MAX_POOL_SLOTS - 1.0, MAX_POOL_SLOTS + 1.0
+    for excess in (500, 1000, 2000):
+        exact = erlang_c(int(below) + excess, below)
+        assert erlang_c(int(above) + excess, above) == pytest.approx(exact, rel=0.01)
