--- a/coursefold/coordination/demand.py
+++ b/coursefold/coordination/demand.py
@@ -29,6 +29,7 @@
 DEFAULT_RUN_S = 60.0
 ZONE_GROWTH_DELAY_S = 10.0  # wait after which free slots in other zones no longer count
 MIN_RUN_S = 1.0
+LOAD_HORIZON_S = 3600.0  # a longer run time counts as this one: it may be in a wrong unit
 
 
 class PoolId(NamedTuple):
@@ -298,6 +299,14 @@
             <= self.now
         ]
 
+    def _counted_run_s(self, spec: Job) -> float:
+        """Return the mean run time of the job's class, as far as it counts for sizes.
+
+        Arrivals within the horizon cannot build up more load. Tasks that run for longer count
+        for as long as they run.
+        """
+        return min(LOAD_HORIZON_S, self.run_times.mean_run_s(spec, self.now))
+
     def count_arrival(self, spec: Job, task_count: int) -> None:
         """Count a job that arrived in the window.
 
@@ -307,7 +316,7 @@
         """
         if spec.kind == "standing":
             return
-        run_s = self.run_times.mean_run_s(spec, self.now)
+        run_s = self._counted_run_s(spec)
         remaining = float(task_count)
         pools = self.eligible_pools(spec)
         for index, pool in enumerate(pools):
@@ -344,7 +353,7 @@
             demand.standing_slots += task_slots
         else:
             demand.batch_slots += task_slots
-            demand.batch_slot_s += task_slots * self.run_times.mean_run_s(spec, self.now)
+            demand.batch_slot_s += task_slots * self._counted_run_s(spec)
 
     def pack_waiting(
         self, unplaced_jobs: Iterable[UnplacedTasks], capacities: list[MachineCapacity]
--- a/coursefold/coordination/pools.py
+++ b/coursefold/coordination/pools.py
@@ -98,6 +98,11 @@
         for pool, demand in planner.pools.items():
             self._control(pool, demand, elapsed_s)
 
+    def _count_free_places(self) -> int:
+        """Return how many more machines the fleet may hold."""
+        machine_count = sum(demand.machine_count for demand in self.demands.values())
+        return max(0, self.max_machines - machine_count)
+
     # Supply and demand
 
     def _count_machines(self, planner: DemandPlanner) -> None:
@@ -226,7 +231,7 @@
         adjustment = self._apply_rules(pool, demand, target, losses)
         change = self._machines_to_add(demand, error, result.output, replacements, adjustment)
         if change > 0:
-            self._rent(pool, demand, change)
+            self._rent(pool, demand, min(change, self._count_free_places()))
         elif change < 0:
             self._return_idle(pool, -change)
 
@@ -292,8 +297,12 @@
         return adjustment
 
     def _rent(self, pool: PoolId, demand: PoolDemand, count: int) -> None:
-        """Request machines in zones where the cloud has capacity, unless a request is pending."""
-        if self.rentals.has_pending_write(pool):
+        """Request machines in zones where the cloud has capacity, unless a request is pending.
+
+        What exceeds the requests that a pool may have open is requested in a later step.
+        """
+        count = min(count, self.rentals.count_requestable(pool))
+        if count <= 0 or self.rentals.has_pending_write(pool):
             return
         zones = [
             zone
--- a/coursefold/coordination/rentals.py
+++ b/coursefold/coordination/rentals.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 MAX_MACHINES_PER_REQUEST = 50  # limit of the cloud's API
+MAX_OPEN_REQUESTS = 60  # unanswered ones of a pool, which its record holds
 REFUSED_PAUSE_S = 12.0  # after a first refusal; the pause grows by as much with each further one
 MAX_REFUSED_PAUSES = 4
 RESPONSE_RETENTION_S = 60.0  # by then the cloud's list shows the rented machines
@@ -80,6 +81,12 @@
         """Return whether a change of the pool's record is not committed yet."""
         return self.ctx.queue.is_busy(pool_key(str(pool)))
 
+    def count_requestable(self, pool: PoolId) -> int:
+        """Return how many machines of a pool may be requested beside its unanswered requests."""
+        record = self.ctx.view.pools.get(str(pool), PoolRecord())
+        open_count = sum(rental.machines is None for rental in record.rentals)
+        return max(0, MAX_OPEN_REQUESTS - open_count) * MAX_MACHINES_PER_REQUEST
+
     def rent(self, pool: PoolId, zone: str, count: int) -> None:
         """Record requests for machines in one zone; they are sent once they are committed."""
         ctx = self.ctx
--- a/tests/test_numbers.py
+++ b/tests/test_numbers.py
@@ -1,4 +1,4 @@
-"""Numbers from outside must not decide what a step of a controller costs.
+"""Numbers from outside must not decide what a step of a controller costs, nor rent a whole cloud.
 
 Costs are processor time, so that a busy machine does not change the verdict.
 """
@@ -10,6 +10,7 @@
 
 import pytest
 
+from coursefold.coordination.demand import LOAD_HORIZON_S, DemandPlanner, PoolId, RunTimes
 from coursefold.coordination.fleet_size import MIN_LIMIT_MACHINES, max_fleet_machines
 from coursefold.coordination.queueing import (
     MAX_POOL_SLOTS,
@@ -18,12 +19,15 @@
     erlang_c,
     find_optimal_servers,
 )
+from coursefold.coordination.rentals import MAX_MACHINES_PER_REQUEST, MAX_OPEN_REQUESTS
+from coursefold.protocol.wire import Catalog, Job, decode, encode
 from coursefold.step_times import SLOW_STEP_S
 from tests import world as simulated
-from tests.world import CATALOG, World
+from tests.world import CATALOG, JOB, World
 
 HUGE = 1e12  # the highest amount that is accepted in any field
 TINY = 5e-324
+WINDOW_S = 150.0
 MACHINES = 20
 
 
@@ -44,6 +48,10 @@
         self.core.tick = timed_tick  # type: ignore[method-assign]
         super().run(until)
 
+    def count_requested_machines(self) -> int:
+        """Return how many machines the cloud was asked for."""
+        return sum(body["Count"] for verb, body in self.calls if verb == "hire")
+
 
 def play(jobs: list[dict[str, Any]]) -> TimedWorld:
     """Play the first seconds of these jobs beside an ordinary one, on up to `MACHINES` machines."""
@@ -85,6 +93,7 @@
     """Guards against one job that keeps every controller from answering (review/2)."""
     world = play([fields] * job_count)
     assert world.slowest_tick_s < SLOW_STEP_S
+    assert world.count_requested_machines() <= MIN_LIMIT_MACHINES
     poll = world.poll("job-900")
     assert poll is not None
     assert poll.status == 200
@@ -112,6 +121,44 @@
     assert world.slowest_tick_s < SLOW_STEP_S
 
 
+def test_an_estimate_in_the_wrong_unit_counts_as_one_of_an_hour() -> None:
+    """Guards against a cloud rented as a whole for one job, until its first task is done.
+
+    Other jobs in the pool keep the load and the mean run time that they have beside such a job
+    of an hour.
+    """
+    types = decode(encode(CATALOG), Catalog)
+
+    def plan(estimate_s: float) -> tuple[float, float, float]:
+        planner = DemandPlanner(types, RunTimes(), 0.0, {}, {}, WINDOW_S)
+        for name, run_s in (("job-1", estimate_s), ("job-2", 60.0)):
+            job = JOB | {"NameId": name, "Lane": name, "ExpectedS": run_s}
+            planner.count_arrival(decode(encode(job), Job), 1)
+            planner.count_running(decode(encode(job), Job), PoolId("g2", False))
+        demand = planner.pools[PoolId("g2", False)]
+        return demand.target_slots(0.0005), demand.mean_run_s, demand.mean_batch_run_s
+
+    assert plan(35e9) == plan(LOAD_HORIZON_S)
+    assert plan(2000.0) < plan(LOAD_HORIZON_S)
+    assert plan(35e9)[0] <= 2 * LOAD_HORIZON_S / WINDOW_S
+
+
+def test_a_pool_has_a_limited_number_of_open_requests() -> None:
+    """Guards against a record of requests that is too large to be written."""
+    world = TimedWorld()
+    world.run(6.0)  # until the first list of machines
+    world.cloud = "down"
+    control, pool = world.core.fleet.pool_control, PoolId("g2", False)
+    for _ in range(3):
+        control._rent(pool, control.demands[pool], 100_000)
+        world.run(world.now + 1.0)
+    open_requests = [
+        rental for record in world.core.view.pools.values() for rental in record.rentals
+    ]
+    assert len(open_requests) == MAX_OPEN_REQUESTS
+    assert all(rental.count <= MAX_MACHINES_PER_REQUEST for rental in open_requests)
+
+
 def test_the_fleets_limit_follows_from_connections_and_is_no_less_than_4000_machines() -> None:
     settings = World().core.ctx.settings
     assert max_fleet_machines(settings) == MIN_LIMIT_MACHINES == 4000  # 3 times 900 connections
