A gang that can't be written is not planned in every round

What callers would see: slow answers, and with several such jobs failing health probes. A gang of 100,000 tasks that need nothing of a machine is accepted; each round planned all of it on one machine, formed its record, found it too large and began anew. Found while trying each number of a job (test_numbers.py).

Cause: no limit of tasks on a machine where a task needs nothing, and no memory of a record that got too large.

Fix: a machine takes 1,000 tasks at most, about what a worker's report of 64 KiB lists (tasks were priced at 1/1,000 of a machine at least already). A gang whose record got too large is set aside for two minutes, asks for no machines meanwhile, and its user is told why it waits.

--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -33,7 +33,7 @@
 )
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
-from coursefold.storage.edits import LOW_PRIORITY, Edit
+from coursefold.storage.edits import LOW_PRIORITY, TOO_LARGE, Edit
 from coursefold.storage.records import PLACED, JobRecord, job_key
 
 log = logging.getLogger(__name__)
@@ -44,6 +44,7 @@
 MIN_ROUND_TASKS = 200  # tasks of one job that may always be assigned in one round
 ROUND_TASKS_PER_MACHINE = 0.25  # where that is more: rounds of larger fleets take longer
 ACCELERATOR_PRECEDENCE_S = 20.0  # a waiting job without accelerators is held back this long
+UNWRITABLE_PAUSE_S = 120.0  # before a gang whose record got too large is planned again
 NO_FAILED_GANG_TASKS = 1 << 30  # more tasks than a gang can have
 MAX_DEPENDENT_ENDINGS = 8  # proposed in one round, for jobs that need a cancelled one
 
@@ -87,6 +88,7 @@
         in_flight: By job, the tasks whose assignment or placement is being written.
         failed_searches: What found no machine in this round.
         smallest_failed_gangs: By needs, the size of the smallest gang that did not fit.
+        unwritable_until: Gangs that are not planned, since their record would be too large.
         no_capacity_reasons: By choice of machines, the reason for waiting in this round.
     """
 
@@ -109,6 +111,7 @@
         self.in_flight: dict[JobId, set[int]] = {}
         self.failed_searches = FailedSearches()
         self.smallest_failed_gangs: dict[tuple[object, ...], int] = {}
+        self.unwritable_until: dict[JobId, float] = {}
         self.no_capacity_reasons: dict[tuple[object, ...], str] = {}
 
     def max_entries(self) -> int:
@@ -118,6 +121,10 @@
             return max(4, queue.limits.value_bytes * queue.max_parts() // PACKED_ENTRY_BYTES)
         return max(4, int((queue.limits.value_bytes - RECORD_BYTES) / ENTRY_BYTES))
 
+    def is_unwritable(self, name: JobId) -> bool:
+        """Return whether a gang's record would be too large with all its tasks in it."""
+        return self.ctx.now < self.unwritable_until.get(name, 0.0)
+
     def list_queued_jobs(self, quota: QuotaTracker) -> list[QueuedJob]:
         """Return the jobs that could start a task now, the most urgent first."""
         return self.waiting_queue.list_queued_jobs(quota, self.waiting_reasons)
@@ -144,6 +151,9 @@
         for (name, index), (_, spec) in ctx.placements_in_flight.items():
             if ctx.view.find_entry(JobId(name), index) is None and JobId(name) in ctx.view.jobs:
                 quota.add_usage(spec, 1)
+        self.unwritable_until = {
+            name: until for name, until in self.unwritable_until.items() if until > ctx.now
+        }
         self.in_flight = {}
         for key, index in ctx.placements_in_flight:
             self.in_flight.setdefault(JobId(key), set()).add(index)
@@ -482,6 +492,9 @@
             return
         if self.ctx.queue.is_busy(job_key(name)):
             return
+        if self.is_unwritable(name):
+            self.waiting_reasons[name] = "its record has no room for all its tasks at once"
+            return
         if not quota.fits_limit(job.spec, job.spec.task_count):
             self.waiting_reasons[name] = quota.explain_refusal(job.spec)
             if self.reserves_quota(queued):
@@ -559,6 +572,8 @@
         def on_settled(ok: bool, why: str) -> None:
             for number in range(job.spec.task_count):
                 ctx.placements_in_flight.pop((name, number), None)
+            if why == TOO_LARGE:
+                self.unwritable_until[name] = ctx.now + UNWRITABLE_PAUSE_S
             log.info("gang %s on %s: %s", name, ",".join(m.id for m in plan), why or "placed")
 
         self._clear_prerequisites(name, job)
--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -12,6 +12,7 @@
 from coursefold.storage.view import EMPTY_LOAD, MachineLoad
 
 RESOURCE_TOLERANCE = 1e-6  # CPUs, accelerators or GB; absorbs rounding errors of sums
+MAX_TASKS_PER_MACHINE = 1000  # about as many as a worker's report of 64 KiB can list
 # Penalties for a job that may use spot machines on an ordinary machine:
 NEEDED_ORDINARY_PENALTY_S = 40.0  # of a type that is the cheapest for a job without spot
 OTHER_ORDINARY_PENALTY_S = 8.0  # of any other type
@@ -108,6 +109,7 @@
             spec.cpus <= self.cpus + RESOURCE_TOLERANCE
             and spec.gpus <= self.gpus + RESOURCE_TOLERANCE
             and spec.memory_gb <= self.memory_gb + RESOURCE_TOLERANCE
+            and self.task_count < MAX_TASKS_PER_MACHINE
         )
 
     def count_tasks_beside_replicas(self, spec: Job) -> int:
@@ -187,7 +189,7 @@
         spec.cpus / type_info.cpus if type_info.cpus else 0.0,
         spec.gpus / type_info.gpus if type_info.gpus else 0.0,
         spec.memory_gb / type_info.memory_gb if type_info.memory_gb else 0.0,
-        1e-3,
+        1 / MAX_TASKS_PER_MACHINE,
     )
     return 1.0 / max(1, int(1.0 / largest + RESOURCE_TOLERANCE))
 
--- a/coursefold/coordination/pools.py
+++ b/coursefold/coordination/pools.py
@@ -145,7 +145,7 @@
         unplaced_jobs: list[UnplacedTasks] = []
         for queued_job in self.leader.list_queued_jobs(quota):
             count = self._count_allowed(queued_job, quota)
-            if count <= 0:
+            if count <= 0 or self.leader.is_unwritable(queued_job.name):
                 continue
             quota.add_usage(queued_job.job.spec, count)
             tasks_by_zone: dict[str, int] = {}
--- a/coursefold/coordination/requests.py
+++ b/coursefold/coordination/requests.py
@@ -23,7 +23,7 @@
 from coursefold.protocol.wire import Job, MalformedError, decode_job
 from coursefold.storage import records
 from coursefold.storage.cell_records import DelegationStage
-from coursefold.storage.edits import HIGH_PRIORITY, Edit
+from coursefold.storage.edits import HIGH_PRIORITY, TOO_LARGE, Edit
 from coursefold.storage.records import Ending, JobRecord, job_key
 
 log = logging.getLogger(__name__)
@@ -175,7 +175,7 @@
                 self.ctx.effects.append(
                     Response(ticket, 201, {"NameId": spec.name, "Status": "pending"})
                 )
-            elif reason == "too large" and self.queue.later_limits and not self.view.format_level:
+            elif reason == TOO_LARGE and self.queue.later_limits and not self.view.format_level:
                 self._answer_unavailable(
                     ticket, "no room for so long a description before the upgrade", 5
                 )
@@ -183,7 +183,7 @@
                 self._answer_unavailable(ticket, "the job's record can not be read", 5)
             elif reason == "refused":
                 self._answer_unavailable(ticket, "the state service does not take it", 5)
-            elif reason == "too large":
+            elif reason == TOO_LARGE:
                 self.ctx.effects.append(Response(ticket, 400, {"error": "description too large"}))
             else:
                 self._request_fresh_state(ticket, Purpose.SUBMIT, spec.name, None)
--- a/coursefold/storage/edits.py
+++ b/coursefold/storage/edits.py
@@ -11,6 +11,7 @@
 from coursefold.storage import records
 
 HIGH_PRIORITY, NORMAL_PRIORITY, LOW_PRIORITY = 0, 1, 2
+TOO_LARGE = "too large"  # reason of an edit that is given up because its record has no room
 
 
 class NotApplicableError(Exception):
--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -24,6 +24,7 @@
 from coursefold.storage.batches import Batch, BatchBuilder
 from coursefold.storage.edits import (
     HIGH_PRIORITY,
+    TOO_LARGE,
     ArchiveEnding,
     DeleteKey,
     Edit,
@@ -259,7 +260,7 @@
         if self._is_not_larger(before, outcome):
             self.oversized_edits.setdefault(edit.key, []).append(edit)
         else:
-            self._settle(edit, False, "too large")
+            self._settle(edit, False, TOO_LARGE)
 
     def _is_too_large(self, result: EditResult | None) -> bool:
         """Return whether the record cannot be written within the service's limits."""
--- a/tests/test_numbers.py
+++ b/tests/test_numbers.py
@@ -8,10 +8,14 @@
 import time
 from typing import Any
 
+import msgspec
 import pytest
 
 from coursefold.coordination.demand import LOAD_HORIZON_S, DemandPlanner, PoolId, RunTimes
 from coursefold.coordination.fleet_size import MIN_LIMIT_MACHINES, max_fleet_machines
+from coursefold.coordination.gangs import find_gang_placement
+from coursefold.coordination.leader import UNWRITABLE_PAUSE_S
+from coursefold.coordination.placement import MAX_TASKS_PER_MACHINE, MachineCapacity
 from coursefold.coordination.queueing import (
     MAX_POOL_SLOTS,
     SEARCH_LOAD_FACTOR,
@@ -20,6 +24,7 @@
     find_optimal_servers,
 )
 from coursefold.coordination.rentals import MAX_MACHINES_PER_REQUEST, MAX_OPEN_REQUESTS
+from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Catalog, Job, decode, encode
 from coursefold.step_times import SLOW_STEP_S
 from tests import world as simulated
@@ -143,6 +148,42 @@
     assert plan(35e9)[0] <= 2 * LOAD_HORIZON_S / WINDOW_S
 
 
+TASKS_WITHOUT_NEEDS = {
+    "Pieces": 100_000, "Shape": "ensemble", "Vcpus": 0.0, "Accelerators": 0.0, "MemoryGb": 0.0,
+}  # fmt: skip
+
+
+def test_a_machine_takes_as_many_tasks_as_its_report_can_list() -> None:
+    """Guards against a round that fills one machine with a whole gang that needs nothing."""
+    types = decode(encode(CATALOG), Catalog).machine_types
+    machine = MachineCapacity("i-1", types[0], "a", False, "n0", 1)
+    spec = decode(encode(JOB | TASKS_WITHOUT_NEEDS | {"NameId": "job-1"}), Job)
+    assert find_gang_placement(spec, [machine]) is None
+    fitting = msgspec.structs.replace(spec, task_count=MAX_TASKS_PER_MACHINE)
+    assert find_gang_placement(fitting, [machine]) == [machine] * MAX_TASKS_PER_MACHINE
+
+
+def test_a_gang_whose_record_gets_too_large_is_not_planned_in_each_round() -> None:
+    """Guards against rounds that all take a second for a gang that can't be written."""
+    world = TimedWorld()
+    world.submit("job-1", **(TASKS_WITHOUT_NEEDS | {"Pieces": 15_000}))
+    world.run(3.0)
+    for sequence in (1, 2):
+        for machine in range(MACHINES):
+            world.report(f"i-9{machine:02d}", [], Counter=sequence)
+    job = JobId("job-1")
+    world.run(8.0)
+    leader = world.core.leader
+    assert "no room" in leader.waiting_reasons[job]
+    assert leader.is_unwritable(job)
+    assert list(leader.unwritable_until) == [job]
+    for sequence in range(3, 3 + int(UNWRITABLE_PAUSE_S / 4) + 2):
+        for machine in range(MACHINES):
+            world.report(f"i-9{machine:02d}", [], Counter=sequence)
+        world.run(world.now + 4.0)
+    assert leader.unwritable_until[job] > world.core.ctx.now  # tried again once, and set aside
+
+
 def test_a_pool_has_a_limited_number_of_open_requests() -> None:
     """Guards against a record of requests that is too large to be written."""
     world = TimedWorld()
