Log each change of a team's use; compare machines' reports with the limits

Change: one log line for each commit that changes a team's use, with edit, proposer, token, revision and count; a warning when machines report more than the limit for 2 s; limit, counted and reported use by team on /healthz. Owners tell the sum of their machines' reports in their summaries (a new protobuf field, which older versions ignore). No decision uses any of it. A placement that does not apply any more is logged at info.

Tests: the simulated cell compares CPUs and accelerators on machines with the limits, in every world that is built on it (fleet, cells, shares); before, it compared accelerators only. It can hold back the reports to one controller.

--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -4,6 +4,7 @@
 from coursefold.coordination.grants import GrantExpiry
 from coursefold.coordination.ownership import OwnershipTable
 from coursefold.coordination.placement import MachineCapacity, PriceIndex
+from coursefold.coordination.quota import ResourceUsage
 from coursefold.coordination.rendezvous import hash_owner
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, MemberName, MonotonicTime, WallTime
@@ -45,6 +46,7 @@
         gang_reservation_until: Until when the machine is reserved for a gang of the leader.
         idle_since: When the machine last had a task; when it first reported if it had none.
         lease_expired: No report and no response for longer than the machine's lease.
+        reported_usage: By team, what the tasks of the last report use that had started.
     """
 
     def __init__(self, id: str, machine_type: str, zone: str, spot: bool) -> None:
@@ -70,6 +72,7 @@
         self.gang_reservation_until = 0.0
         self.idle_since = MonotonicTime(0.0)
         self.lease_expired = False
+        self.reported_usage: dict[str, ResourceUsage] = {}
 
     def record_image_use(self, image: str, size_gb: float, cache_gb: float) -> None:
         """Note that a task uses an image; images beyond the cache size count as evicted."""
@@ -132,6 +135,7 @@
         requested_machines: Machines that it wants, as the leader, for a gang.
         unreachable_for_workers: Controllers that workers cannot reach, by its observation.
         waiting_reasons: Why jobs wait, by job.
+        reported_usage: By team, what the tasks on its machines use.
     """
 
     def __init__(self, member: str, connection_started_at: float) -> None:
@@ -148,6 +152,7 @@
         self.requested_machines: frozenset[str] = frozenset()
         self.unreachable_for_workers: frozenset[str] = frozenset()
         self.waiting_reasons: dict[str, str] = {}
+        self.reported_usage: dict[str, ResourceUsage] = {}
 
     def copy_member_state(self, previous: "PeerView") -> None:
         """Take over what holds for the member itself rather than for one connection."""
--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -21,6 +21,7 @@
 from coursefold.coordination.leader import Leader
 from coursefold.coordination.owner import Owner
 from coursefold.coordination.requests import RequestHandler
+from coursefold.coordination.team_usage import TeamUsageMonitor
 from coursefold.coordination.upgrade import Upgrade
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, MonotonicTime, WallTime
@@ -46,6 +47,7 @@
         queue: Edits to be committed to the state service by the caller.
         ctx: State shared by the parts of the core.
         frame_builders: Builders of the frames to each sibling, by member name.
+        team_usage: Logs and checks what teams use.
         extensions: Optional subsystems that take part in each round.
         was_leading: Whether this controller led at the end of the last round.
     """
@@ -76,6 +78,7 @@
         self.owner = Owner(self.ctx, self.election, self.forwarding.propose)
         self.leader = Leader(self.ctx, self.owner)
         self.fleet = FleetManager(self.ctx, self.leader)
+        self.team_usage = TeamUsageMonitor(self.ctx)
         self.extensions: list[Extension] = []
         self.requests = RequestHandler(self.ctx, lambda: self.leader.waiting_reasons)
         self.was_leading = False
@@ -121,6 +124,7 @@
         self.owner.tick()
         self.leader.tick()
         self.fleet.tick()
+        self.team_usage.tick()
         for extension in self.extensions:
             extension.tick()
         self._move_endings()
@@ -227,6 +231,7 @@
             "members": [m.name for m in roster.members] if roster else [],
             "switched": self.view.format_level >= records.BASE_LEVEL,
             "older": self.upgrade.controllers_without_version() if self.view.is_loaded else None,
+            "teams": self.team_usage.health_status(),
         }
         for extension in self.extensions:
             health |= extension.health_status()
--- a/coursefold/coordination/forward.py
+++ b/coursefold/coordination/forward.py
@@ -15,7 +15,7 @@
 from coursefold.coordination.summary import PeerFrameBuilder
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, is_job_id
-from coursefold.storage.edits import NORMAL_PRIORITY, Edit
+from coursefold.storage.edits import NORMAL_PRIORITY, Edit, EditOrigin
 from coursefold.storage.records import job_key
 
 log = logging.getLogger(__name__)
@@ -169,6 +169,7 @@
                     priority=NORMAL_PRIORITY,
                     fencing_token=item.token,
                     on_settled=settled,
+                    origin=EditOrigin(transition.kind, sender),
                 )
             )
 
--- a/coursefold/coordination/inventory.py
+++ b/coursefold/coordination/inventory.py
@@ -14,7 +14,7 @@
 from coursefold.coordination.demand import PoolId
 from coursefold.coordination.loss_tracker import LossTracker
 from coursefold.protocol.wire import ListedMachine
-from coursefold.storage.edits import Edit
+from coursefold.storage.edits import Edit, EditOrigin
 from coursefold.storage.records import ASSIGNED, job_key
 
 log = logging.getLogger(__name__)
@@ -376,6 +376,7 @@
                 change,
                 fencing_token=ctx.view.fencing_token,
                 tag=f"gone{entry.index}",
+                origin=EditOrigin("gone", ctx.own_name),
             )
             ctx.queue.propose(edit)
 
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -25,6 +25,7 @@
     fits_machine_type,
 )
 from coursefold.coordination.quota import QuotaTracker
+from coursefold.coordination.team_usage import count_team_usage
 from coursefold.coordination.waiting import (
     RESERVATION_PAUSE_S,
     RESERVATION_S,
@@ -33,7 +34,7 @@
 )
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
-from coursefold.storage.edits import LOW_PRIORITY, TOO_LARGE, Edit
+from coursefold.storage.edits import LOW_PRIORITY, TOO_LARGE, Edit, EditOrigin
 from coursefold.storage.records import PLACED, JobRecord, job_key
 
 log = logging.getLogger(__name__)
@@ -147,10 +148,7 @@
         self.failed_searches = FailedSearches()
         self.smallest_failed_gangs = {}
         self.preemption.start_round()
-        quota = QuotaTracker(ctx.settings.params.teams, ctx.view.team_usage)
-        for (name, index), (_, spec) in ctx.placements_in_flight.items():
-            if ctx.view.find_entry(JobId(name), index) is None and JobId(name) in ctx.view.jobs:
-                quota.add_usage(spec, 1)
+        quota = QuotaTracker(ctx.settings.params.teams, count_team_usage(ctx))
         self.unwritable_until = {
             name: until for name, until in self.unwritable_until.items() if until > ctx.now
         }
@@ -296,6 +294,7 @@
                         jobs.unassign(index, owner),
                         fencing_token=ctx.view.fencing_token,
                         tag=f"undeal{index}",
+                        origin=EditOrigin("undeal", ctx.own_name),
                     )
                 )
 
@@ -478,6 +477,7 @@
             jobs.assign(assignments),
             fencing_token=ctx.view.fencing_token,
             on_settled=on_settled,
+            origin=EditOrigin("assign", ctx.own_name),
         )
         ctx.queue.propose(edit)
 
@@ -585,6 +585,7 @@
             fencing_token=ctx.view.fencing_token,
             tag="gang",
             on_settled=on_settled,
+            origin=EditOrigin("place_gang", ctx.own_name),
         )
         if not ctx.queue.propose(edit):
             on_settled(False, "under way")
--- a/coursefold/coordination/owner.py
+++ b/coursefold/coordination/owner.py
@@ -12,6 +12,7 @@
 from coursefold.coordination.election import Election
 from coursefold.coordination.lease_renewal import LeaseRenewal
 from coursefold.coordination.owner_placement import OwnerPlacement
+from coursefold.coordination.quota import add_usage, usage_of_tasks
 from coursefold.coordination.response_monitor import ResponseMonitor
 from coursefold.coordination.transitions import ForwardTransition, TransitionProposer
 from coursefold.protocol.ids import parse_task_id
@@ -192,7 +193,7 @@
             log.info("machine %s will be taken in %.1f s", machine.id, report.recall_in_s)
             ctx.notify_peers = True
         machine.recall_at = None if report.recall_in_s is None else ctx.now + report.recall_in_s
-        machine.tasks = {}
+        machine.tasks, machine.reported_usage = {}, {}
         for task_report in report.tasks:
             task = parse_task_id(task_report.task)
             if task is None:
@@ -203,6 +204,8 @@
             machine.tasks[(task.job, task.number)] = task_report
             job = ctx.view.jobs.get(task.job)
             if job is not None and task_report.state in ("running", "gathering", "flushing"):
+                usage = usage_of_tasks(job.spec, 1)
+                add_usage(machine.reported_usage, [(job.spec.team, usage)])
                 type_info = ctx.find_machine_type(machine.machine_type)
                 machine.record_image_use(
                     job.spec.image, job.spec.image_gb, type_info.cache_gb if type_info else 0.0
--- a/coursefold/coordination/owner_placement.py
+++ b/coursefold/coordination/owner_placement.py
@@ -123,7 +123,7 @@
             if ok:
                 log.info("place %s on %s", name, places)
             else:
-                log.debug("place %s on %s: %s", name, places, why)
+                log.info("place %s on %s: not written: %s", name, places, why)
 
         transition = jobs.TaskTransition("place", tuple(tasks), ctx.own_name)
         self.transitions.propose_transition(name, transition, "", NORMAL_PRIORITY, on_settled)
--- a/coursefold/coordination/quota.py
+++ b/coursefold/coordination/quota.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from coursefold.protocol.wire import Job
 from coursefold.settings import Team
@@ -12,6 +13,43 @@
 RESOURCE_TOLERANCE = 1e-6  # CPUs or accelerators; absorbs rounding errors of sums
 
 
+class ResourceUsage(NamedTuple):
+    """An amount of CPUs and accelerators."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+    def plus(self, other: "ResourceUsage") -> "ResourceUsage":
+        """Return the sum."""
+        return ResourceUsage(self.cpus + other.cpus, self.gpus + other.gpus)
+
+    def exceeds_limit(self, team: Team) -> bool:
+        """Return whether this is more than the team may use."""
+        return bool(
+            (team.cpus_max and self.cpus > team.cpus_max + RESOURCE_TOLERANCE)
+            or (team.gpus_max and self.gpus > team.gpus_max + RESOURCE_TOLERANCE)
+        )
+
+    def __str__(self) -> str:
+        return f"{self.cpus:g} CPUs, {self.gpus:g} GPUs"
+
+
+NO_USAGE = ResourceUsage()
+
+
+def usage_of_tasks(spec: Job, task_count: int) -> ResourceUsage:
+    """Return what that many tasks of the job use."""
+    return ResourceUsage(spec.cpus * task_count, spec.gpus * task_count)
+
+
+def add_usage(
+    totals: dict[str, ResourceUsage], amounts: Iterable[tuple[str, ResourceUsage]]
+) -> None:
+    """Add amounts of teams to the teams' totals."""
+    for team, usage in amounts:
+        totals[team] = totals.get(team, NO_USAGE).plus(usage)
+
+
 class QuotaTracker:
     """Use of CPUs and accelerators by team during one round of decisions.
 
--- a/coursefold/coordination/summary.py
+++ b/coursefold/coordination/summary.py
@@ -15,6 +15,8 @@
 
 from coursefold.coordination import cancellations
 from coursefold.coordination.context import Context, PeerMachine, PeerView
+from coursefold.coordination.quota import ResourceUsage
+from coursefold.coordination.team_usage import count_own_reported
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, MonotonicTime
 
@@ -216,6 +218,8 @@
         body.full, self.needs_full_summary = self.needs_full_summary, False
         if ctx.view.is_loaded:
             cancellations.fill_message(ctx, self.member, body.cancellations)
+        for team, usage in count_own_reported(ctx).items():
+            body.team_usage.add(team=team, cpus=usage.cpus, gpus=usage.gpus)
         self._add_rows(body)
         if ctx.is_leading():
             self._add_reasons(body, reasons)
@@ -353,6 +357,9 @@
         machine.idle_since = ctx.now - item.idle_s
         machine.cached_images = frozenset(item.images)
         peer.machines[item.id] = machine
+    peer.reported_usage = {
+        item.team: ResourceUsage(item.cpus, item.gpus) for item in summary.team_usage
+    }
     for id in summary.dropped:
         peer.machines.pop(id, None)
     peer.is_complete = not summary.more
--- a/coursefold/coordination/transitions.py
+++ b/coursefold/coordination/transitions.py
@@ -5,7 +5,7 @@
 from coursefold.coordination import jobs
 from coursefold.coordination.context import Context
 from coursefold.protocol.ids import JobId
-from coursefold.storage.edits import NORMAL_PRIORITY, Edit
+from coursefold.storage.edits import NORMAL_PRIORITY, Edit, EditOrigin
 from coursefold.storage.records import TaskEntry, job_key
 
 ForwardTransition = Callable[[JobId, jobs.TaskTransition, Edit], bool]
@@ -70,5 +70,6 @@
             fencing_token=self.ctx.view.fencing_token,
             tag=tag,
             on_settled=on_settled,
+            origin=EditOrigin(transition.kind, self.ctx.own_name),
         )
         return self.forward(job_id, transition, edit)
--- a/coursefold/storage/edits.py
+++ b/coursefold/storage/edits.py
@@ -32,6 +32,16 @@
 Change = Callable[[Struct | None], EditResult]  # from the current record, None if there is none
 
 
+class EditOrigin(NamedTuple):
+    """Which kind of change an edit makes, and the controller that decided on it."""
+
+    kind: str
+    member: str
+
+    def __str__(self) -> str:
+        return f"{self.kind} by {self.member}"
+
+
 class Edit:
     """One change of one key.
 
@@ -45,6 +55,7 @@
             if it was not.
         lease_id: The lease that the key is attached to; None: the key does not expire.
         tag: Of edits with the same key and tag only one is pending at a time; empty: any number.
+        origin: For the log; None if it is of no interest there.
         try_count: Failed attempts so far.
         conflict_count: Those among them that ended in a conflict.
     """
@@ -56,6 +67,7 @@
         "key",
         "lease_id",
         "on_settled",
+        "origin",
         "priority",
         "tag",
         "try_count",
@@ -71,6 +83,7 @@
         on_settled: Callable[[bool, str], None] | None = None,
         lease_id: int | None = None,
         tag: str = "",
+        origin: EditOrigin | None = None,
     ) -> None:
         self.key = key
         self.change = change
@@ -79,6 +92,7 @@
         self.on_settled = on_settled
         self.lease_id = lease_id
         self.tag = tag
+        self.origin = origin
         self.try_count = 0
         self.conflict_count = 0
 
--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -15,11 +15,12 @@
 
 import logging
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 from msgspec import Struct
 
-from coursefold.protocol.ids import MonotonicTime
+from coursefold.protocol.ids import JobId, MonotonicTime
 from coursefold.storage import codec, record_parts, records
 from coursefold.storage.batches import Batch, BatchBuilder
 from coursefold.storage.edits import (
@@ -41,6 +42,24 @@
 MAX_TRIES = 1000  # per edit, including refusals and missing responses: minutes of an outage
 
 
+class CommittedJob(NamedTuple):
+    """A change of a job's record that a transaction of this controller has made.
+
+    Attributes:
+        job: The job's name.
+        before: Its record before; None if there was none.
+        after: Its record afterwards; None if the job has ended.
+        edits: The edits that made the change.
+        revision: The revision of the transaction.
+    """
+
+    job: JobId
+    before: JobRecord | None
+    after: JobRecord | None
+    edits: list[Edit]
+    revision: int
+
+
 class CommitQueue:
     """Edits that wait or are in flight.
 
@@ -56,6 +75,7 @@
         pending_tags: Keys and tags of edits that wait or are in flight; a second edit with the
             same key and tag is not queued.
         has_new_edits: Whether an edit was proposed since the caller last reset this.
+        on_jobs_committed: Called with the changes of job records that a transaction made.
     """
 
     def __init__(
@@ -82,6 +102,7 @@
         self.paused_until = MonotonicTime(0.0)
         self.pending_tags: set[tuple[str, str]] = set()
         self.has_new_edits = False
+        self.on_jobs_committed: Callable[[list[CommittedJob]], None] | None = None
 
     def set_rate_share(self, is_leader: bool, controller_count: int) -> None:
         """Set this controller's share of the service's write rate.
@@ -334,6 +355,11 @@
 
     def handle_success(self, batch: Batch, revision: int) -> None:
         """Handle the success of a transaction, which was carried out at this revision."""
+        jobs_before = {
+            key: self.view.jobs.get(JobId(key.removeprefix(records.JOB_PREFIX)))
+            for key in batch.results
+            if key.startswith(records.JOB_PREFIX)
+        }
         for key, result in batch.results.items():
             self.in_flight.discard(key)
             if isinstance(result, (DeleteKey, ArchiveEnding)):
@@ -342,9 +368,29 @@
                     self.view.remember_ending(key, result.ending)
             elif revision > self.view.version_of(key):
                 self.view.store_record(key, result, revision, batch.part_counts.get(key, 0))
+        if self.on_jobs_committed is not None and jobs_before:
+            self.on_jobs_committed(self._list_committed_jobs(batch, jobs_before, revision))
         for edit in batch.edits:
             self._settle(edit, True)
 
+    @staticmethod
+    def _list_committed_jobs(
+        batch: Batch, jobs_before: dict[str, JobRecord | None], revision: int
+    ) -> list[CommittedJob]:
+        committed = []
+        for key, before in jobs_before.items():
+            result = batch.results[key]
+            committed.append(
+                CommittedJob(
+                    JobId(key.removeprefix(records.JOB_PREFIX)),
+                    before,
+                    result if isinstance(result, JobRecord) else None,
+                    [edit for edit in batch.edits if edit.key == key],
+                    revision,
+                )
+            )
+        return committed
+
     def handle_conflict(self, batch: Batch, failed_keys: list[str]) -> None:
         """Handle a conflict (409): nothing was carried out.
 
--- a/tests/cells_world.py
+++ b/tests/cells_world.py
@@ -1,6 +1,6 @@
 """Simulate several cells: one `tests.fleet.Fleet` for each, and the frames between them.
 
-All cells share one record of jobs, placed tasks and GPU use. A task that starts in one cell
+All cells share one record of jobs, placed tasks and what teams use. A task that starts in one cell
 while it is on a machine of another therefore breaks the rules as it would within a cell, and
 a team's use counts in whichever cell it occurs.
 """
@@ -18,6 +18,7 @@
 from coursefold.storage.cell_records import DelegationStage, GuestStage
 from coursefold.storage.records import JobRecord
 from tests.fleet import Fleet, Node
+from tests.fleet_limits import TeamUse
 from tests.world import SETTINGS
 
 STEP_S = 0.02
@@ -53,10 +54,10 @@
         self.vanished = False
         self.file = cells_file(name, **cells.fields)
         super().__init__(seed, capacity, nodes=NODES, teams=cells.teams_of.get(name, cells.teams))
-        self.jobs, self.placed_tasks, self.gpus_in_use = (
+        self.jobs, self.placed_tasks, self.team_use = (
             cells.jobs,
             cells.placed_tasks,
-            cells.gpus_in_use,
+            cells.team_use,
         )
 
     def node_started(self, node: Node) -> None:
@@ -160,7 +161,7 @@
         self.teams_of = teams_of or {}
         self.jobs: dict[str, Any] = {}
         self.placed_tasks: dict[str, Any] = {}
-        self.gpus_in_use: dict[str, float] = {}
+        self.team_use = TeamUse()
         self.without_file: dict[str, set[str]] = {}
         self.cut_until: dict[tuple[str, str], float] = {}
         self.duplicate_share = self.slow_share = 0.0
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,6 +17,7 @@
 from coursefold.protocol.wire import Command, encode
 from coursefold.storage import records
 from tests.fleet_jobs import RuleBrokenError, Task, UserJob
+from tests.fleet_limits import TeamLimits, TeamUse
 from tests.fleet_node import ZONES, Node
 from tests.fleet_users import User
 from tests.fleet_worker import Worker
@@ -47,6 +48,7 @@
         leases_extended_at: End of the last outage of the state service after which all leases
             got their full duration again.
         lost_commits: Share of commits whose response is lost.
+        lost_commit_delay_s: A commit whose response is lost is carried out within this time.
         duplicate_share: Share of workers' reports of which a late copy is delivered.
         kept_share: Share of workers' reports that are added to `kept_reports`.
         kept_reports: Copies of reports, delivered later by `deliver_kept_reports`.
@@ -63,8 +65,8 @@
         capacity: Machines that the cloud can still rent out, by zone and spot.
         rentals: Names of the rented machines, by rental id.
         placed_tasks: The tasks that are on a machine, with their worker, by task name.
-        gpus_in_use: Accelerators used, by team.
-        gpu_limits: Accelerators that a team may use at most; 0 means no limit.
+        team_use: What the tasks on machines use, by team.
+        team_limits: What each team may use at most.
         started_count: Number of task starts.
     """
 
@@ -91,6 +93,7 @@
         self.outage_until = self.cloud_down_until = self.peers_refused_until = 0.0
         self.leases_extended_at = 0.0
         self.lost_commits = self.duplicate_share = 0.0
+        self.lost_commit_delay_s = 9.0
         self.kept_share = self.cancel_at_end_share = self.quick_boot_share = 0.0
         self.kept_reports: list[bytes] = []
         self.request_sent_at = 0.0
@@ -103,8 +106,8 @@
         self.rentals: dict[str, list[str]] = {}
         self.jobs: dict[str, UserJob] = {}
         self.placed_tasks: dict[str, tuple[Worker, Task]] = {}
-        self.gpus_in_use: dict[str, float] = {}
-        self.gpu_limits = {team["name"]: team["gpus_max"] for team in self.params["teams"]}
+        self.team_use = TeamUse()
+        self.team_limits = TeamLimits(self.params["teams"])
         self.started_count = 0
         self.nodes: list[Node] = []
         for number in range(nodes):
@@ -231,7 +234,8 @@
             if (
                 worker is None
                 or worker.gone
-                or self.now < max(worker.responses_lost_until, worker.cut_until)
+                or self.now
+                < max(worker.responses_lost_until, worker.cut_until, node.workers_cut_until)
             ):
                 return
             worker.expire_lease()
@@ -508,7 +512,8 @@
         self.started_count += 1
         if job.first_started_at < 0:
             job.first_started_at = self.now
-        self._check_gpu_limit(job)
+        self.team_use.add(job, 1)
+        self._check_team_limit(str(job.body["Owner"]))
         if not job.is_gang:
             worker.begin(task, job.run_s * self.rng.uniform(0.8, 1.2))
             return
@@ -563,18 +568,21 @@
                 f"{task.name}: the tasks of its job are not spread over the zones"
             )
 
-    def _check_gpu_limit(self, job: UserJob) -> None:
-        """Add a task's accelerators to its team's use and check the team's limit."""
-        team, gpus = str(job.body["Owner"]), float(job.body["Accelerators"])
-        self.gpus_in_use[team] = self.gpus_in_use.get(team, 0.0) + gpus
-        if self.gpu_limits.get(team) and self.gpus_in_use[team] > self.gpu_limits[team] + 1e-6:
-            raise RuleBrokenError(f"{team} uses {self.gpus_in_use[team]} GPUs, more than its limit")
+    def _check_team_limit(self, team: str) -> None:
+        """Check that the team's tasks on machines use no more than its limit."""
+        if not self.team_limits.find_excess(team, self.team_use):
+            return
+        for worker, _ in list(self.placed_tasks.values()):
+            # A machine that hangs for longer than its lease has lost its tasks.
+            worker.expire_lease()
+        if excess := self.team_limits.find_excess(team, self.team_use):
+            raise RuleBrokenError(f"team {team} uses {excess} at {self.now:.2f} s")
 
     def task_leaves(self, worker: Worker, task: Task) -> None:
         """Record that a task is no longer on its machine."""
         if self.placed_tasks.get(task.name, (None, None))[1] is task:
             del self.placed_tasks[task.name]
-            self.gpus_in_use[str(task.job.body["Owner"])] -= float(task.job.body["Accelerators"])
+            self.team_use.add(task.job, -1)
 
     def finish_gang(self, task: Task) -> None:
         """End the other tasks of a gang of which one task has finished."""
--- a/tests/fleet_node.py
+++ b/tests/fleet_node.py
@@ -32,6 +32,8 @@
     Attributes:
         refused_until: The state service refuses this controller until then.
         cut_until: The controller has no connection to any service or sibling until then.
+        workers_cut_until: Reports to the controller are held back until then, and commands that
+            it sends to workers are lost.
         frozen_until: The process is suspended until then.
         incarnation: Number of the current process; changes with each start and stop.
         skew: Seconds by which the controller's wall clock is ahead.
@@ -46,6 +48,7 @@
         self.world, self.number, self.name = world, number, f"n{number}"
         self.zone = ZONES[number % len(ZONES)]
         self.refused_until = self.cut_until = self.frozen_until = 0.0
+        self.workers_cut_until = 0.0
         self.incarnation = 0
         self.up = False
         self.skew = world.rng.uniform(-0.02, 0.02)
@@ -257,7 +260,7 @@
             self._send(batch)
 
     def _send(self, batch: Batch) -> None:
-        """Send a transaction; it is carried out within 50 ms, or 9 s if its response is lost."""
+        """Send a transaction; it is carried out within 50 ms, or later if its response is lost."""
         world, core = self.world, self.core
         queue, incarnation = core.queue, self.incarnation
         self.in_flight += 1
@@ -265,7 +268,9 @@
             raise RuleBrokenError("a transaction is larger than 64 KiB")
         world.sent_changes[self.version.name] += len(batch.body["Then"])
         is_lost = world.rng.random() < world.lost_commits
-        delay = world.rng.uniform(0.005, 0.05) if not is_lost else world.rng.uniform(0.0, 9.0)
+        delay = world.rng.uniform(0.005, 0.05)
+        if is_lost:
+            delay = world.rng.uniform(0.0, world.lost_commit_delay_s)
 
         def carry_out() -> None:
             status, body = world.store.commit(world.now, batch.body)
--- a/tests/fleet_worker.py
+++ b/tests/fleet_worker.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from tests.fleet import Fleet
+    from tests.fleet_node import Node
 
 FETCH_S = 4.0
 
@@ -84,7 +85,7 @@
 
         if world.now < max(self.cut_until, self.reports_lost_until):
             pass
-        elif (delay_s := world.zone_delay_s(self.zone, world.nodes[target].zone)) > 0:
+        elif (delay_s := self._report_delay_s(world.nodes[target])) > 0:
             world.after(
                 delay_s, send
             )  # arrives after the cut, when its response is no longer awaited
@@ -95,6 +96,13 @@
             4.0, lambda: on_response(None) if request_number == self.request_number else None
         )
 
+    def _report_delay_s(self, node: "Node") -> float:
+        """Return for how long a cut holds back reports to the controller; 0 without a cut."""
+        return max(
+            self.world.zone_delay_s(self.zone, node.zone),
+            node.workers_cut_until - self.world.now,
+        )
+
     def defer_while_hung(self, work: Callable[[], None]) -> bool:
         """Schedule the work for the end of a suspension and return whether there is one."""
         if self.world.now >= self.hung_until:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -309,7 +309,7 @@
     for number in range(14):
         submit_job(fleet, number, ENDLESS_RUN_S, Pieces=6)
     fleet.run(50.0)
-    assert fleet.gpus_in_use["blue"] == 40.0  # at the limit, and more jobs wait
+    assert fleet.team_use.gpus["blue"] == 40.0  # at the limit, and more jobs wait
     for worker in {w for w, _ in fleet.placed_tasks.values()}:
         setattr(worker, how, fleet.now + 22.0)
     running_before = dict(fleet.placed_tasks)
@@ -323,7 +323,7 @@
     # Confirmed while the machines did not answer and the leader changed.
     assert len(cancelled) >= 18
     fleet.run(fleet.now + 87.0)  # every start is checked against the limit
-    assert fleet.gpus_in_use["blue"] == 40.0
+    assert fleet.team_use.gpus["blue"] == 40.0
     check_settled_at_limit(fleet)
 
 
