--- a/coursefold/coordination/team_usage.py
+++ b/coursefold/coordination/team_usage.py
@@ -63,6 +63,8 @@
 
     def log_changes(self, committed: list[CommittedJob]) -> None:
         """Log the changes of teams' use that a transaction has made."""
+        if not log.isEnabledFor(logging.INFO):
+            return
         in_flight: Mapping[str, ResourceUsage] | None = None
         for change in committed:
             job = change.after or change.before
