--- a/coursefold/coordination/jobs.py
+++ b/coursefold/coordination/jobs.py
@@ -6,7 +6,7 @@
 is removed only when the task is done or is known not to run on its machine any more.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -238,10 +238,40 @@
 
 
 def place(owner: str, tasks: Sequence[TaskRef]) -> Change:
-    """Return an edit that places assigned or waiting tasks on machines.
+    """Return an edit by which an owner places tasks that the leader has assigned to it.
 
-    Each placed task gets a new attempt number. Tasks that are done, placed already or
-    assigned to another owner are left out.
+    Tasks without an assignment to this owner in this zone are left out: only an assignment
+    shows that the leader has counted the task against its team's limit.
+    """
+
+    def is_assigned(entry: TaskEntry | None, task: TaskRef) -> bool:
+        return (
+            entry is not None
+            and entry.stage == ASSIGNED
+            and entry.owner == owner
+            and entry.zone in ("", task.zone)
+        )
+
+    return _place_tasks(owner, tasks, is_assigned)
+
+
+def place_waiting(owner: str, tasks: Sequence[TaskRef]) -> Change:
+    """Return an edit by which the leader places waiting tasks on machines of its own.
+
+    The leader has counted the tasks against their team's limit. Tasks that are assigned, placed
+    or done are left out.
+    """
+    return _place_tasks(owner, tasks, lambda entry, _: entry is None)
+
+
+def _place_tasks(
+    owner: str,
+    tasks: Sequence[TaskRef],
+    may_place: Callable[[TaskEntry | None, TaskRef], bool],
+) -> Change:
+    """Return an edit that places those tasks for whose present entry `may_place` holds.
+
+    Each placed task gets a new attempt number.
     """
 
     def change(record: Struct | None) -> EditResult:
@@ -249,10 +279,7 @@
         entries = {e.index: e for e in job.entries}
         attempt = job.attempt
         for task in tasks:
-            current = entries.get(task.number)
-            if job.is_done(task.number):
-                continue
-            if current is not None and (current.stage != ASSIGNED or current.owner != owner):
+            if job.is_done(task.number) or not may_place(entries.get(task.number), task):
                 continue
             attempt += 1
             entries[task.number] = TaskEntry(
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -429,10 +429,25 @@
             else:
                 assignments.append(jobs.Assignment(number, machine.owner, machine.zone, machine.id))
         if own_tasks:
-            self.owner.owner_placement.propose_placement(name, job, own_tasks)
+            self._propose_own_placements(name, job, own_tasks)
         if assignments:
             self._propose_assignments(name, job, assignments)
 
+    def _propose_own_placements(
+        self, name: JobId, job: JobRecord, tasks: list[jobs.TaskRef]
+    ) -> None:
+        """Write places on own machines for waiting tasks, without assigning them first."""
+        ctx = self.ctx
+        ctx.queue.propose(
+            Edit(
+                job_key(name),
+                jobs.place_waiting(ctx.own_name, tasks),
+                fencing_token=ctx.view.fencing_token,
+                on_settled=self.owner.owner_placement.track_placement(name, job, tasks),
+                origin=EditOrigin("place_waiting", ctx.own_name),
+            )
+        )
+
     def _get_start_slack_s(self, queued: QueuedJob) -> float:
         """Return how long the start may take on the worker for the job's next objective.
 
--- a/coursefold/coordination/owner_placement.py
+++ b/coursefold/coordination/owner_placement.py
@@ -1,7 +1,7 @@
 """An owner's choice of machines for the tasks that the leader has assigned to it."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from coursefold.coordination import jobs
 from coursefold.coordination.context import Context
@@ -111,7 +111,15 @@
         )
 
     def propose_placement(self, name: JobId, job: JobRecord, tasks: list[jobs.TaskRef]) -> None:
-        """Write places for tasks of a job in one edit; they count as in flight until then."""
+        """Propose places for assigned tasks of a job in one edit."""
+        transition = jobs.TaskTransition("place", tuple(tasks), self.ctx.own_name)
+        on_settled = self.track_placement(name, job, tasks)
+        self.transitions.propose_transition(name, transition, "", NORMAL_PRIORITY, on_settled)
+
+    def track_placement(
+        self, name: JobId, job: JobRecord, tasks: list[jobs.TaskRef]
+    ) -> Callable[[bool, str], None]:
+        """Count tasks as in flight until the returned function is called with the outcome."""
         ctx = self.ctx
         for task in tasks:
             ctx.placements_in_flight[(name, task.number)] = (task.machine, job.spec)
@@ -125,5 +133,4 @@
             else:
                 log.info("place %s on %s: not written: %s", name, places, why)
 
-        transition = jobs.TaskTransition("place", tuple(tasks), ctx.own_name)
-        self.transitions.propose_transition(name, transition, "", NORMAL_PRIORITY, on_settled)
+        return on_settled
--- a/tests/test_cells_input.py
+++ b/tests/test_cells_input.py
@@ -39,7 +39,7 @@
 from coursefold.storage import codec, records
 from coursefold.storage.cell_records import CellLink, Delegation, DelegationStage, Guest, GuestStage
 from coursefold.storage.edits import DeleteKey, NotApplicableError
-from coursefold.storage.records import Ending, JobRecord, TaskEntry
+from coursefold.storage.records import ASSIGNED, Ending, JobRecord, TaskEntry
 from coursefold.storage.view import View
 from coursefold.transport.cells import CellTransport
 from tests.cells_world import cells_file
@@ -746,11 +746,16 @@
     """Guards against a leader with an outdated view: the edit checks the stage in the record."""
     for change in (
         jobs.assign([jobs.Assignment(0, "n0", "a", "i-1")]),
-        jobs.place("n0", [jobs.TaskRef(0, 0, "a", "i-1", 1)]),
+        jobs.place_waiting("n0", [jobs.TaskRef(0, 0, "a", "i-1", 1)]),
         jobs.place_gang([("n0", "a", "i-1", 1)] * 4),
     ):
         with pytest.raises(NotApplicableError):
             change(record)
+    assigned = [TaskEntry(0, ASSIGNED, 0, "n0", "a", "i-1")]
+    with pytest.raises(NotApplicableError):
+        jobs.place("n0", [jobs.TaskRef(0, 0, "a", "i-1", 1)])(
+            msgspec.structs.replace(record, entries=assigned)
+        )
 
 
 # Records
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -97,8 +97,9 @@
     placed = JobRecord(
         make_job(), 0.0, attempt=1, entries=[TaskEntry(0, PLACED, 1, "n1", "a", "i-1", 1)]
     )
-    with pytest.raises(NotApplicableError):
-        jobs.place("n1", [jobs.TaskRef(0, 0, "a", "i-2", 1)])(placed)
+    for place in (jobs.place, jobs.place_waiting):
+        with pytest.raises(NotApplicableError):
+            place("n1", [jobs.TaskRef(0, 0, "a", "i-2", 1)])(placed)
 
 
 def test_classes_are_placed_on_the_type_with_the_lowest_displacement_cost() -> None:
--- a/tests/test_team_usage.py
+++ b/tests/test_team_usage.py
@@ -41,7 +41,7 @@
     token = world.core.view.fencing_token
     lines = [r.getMessage() for r in caplog.records if r.getMessage().startswith("team red")]
     assert lines[0].startswith(
-        f"team red: +16 CPUs, +2 GPUs by place by n0 of job-1 (token {token},"
+        f"team red: +16 CPUs, +2 GPUs by place_waiting by n0 of job-1 (token {token},"
     )
     assert lines[0].endswith("16 CPUs, 2 GPUs recorded, 0 CPUs, 0 GPUs in flight")
 
