--- a/coursefold/storage/edits.py
+++ b/coursefold/storage/edits.py
@@ -57,7 +57,7 @@
         tag: Of edits with the same key and tag only one is pending at a time; empty: any number.
         origin: For the log; None if it is of no interest there.
         try_count: Failed attempts so far.
-        conflict_count: Those among them that ended in a conflict.
+        conflict_count: Those among them in which the edit's own condition did not hold.
     """
 
     __slots__ = (
--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -38,7 +38,7 @@
 
 log = logging.getLogger(__name__)
 
-MAX_CONFLICTS = 8  # per edit; after that its proposer decides anew from the current record
+MAX_CONFLICTS = 8  # of an edit's own key; then its proposer decides anew from the current record
 MAX_TRIES = 1000  # per edit, including refusals and missing responses: minutes of an outage
 
 
@@ -394,13 +394,19 @@
     def handle_conflict(self, batch: Batch, failed_keys: list[str]) -> None:
         """Handle a conflict (409): nothing was carried out.
 
-        The keys whose conditions failed are read again, then the edits are tried again.
+        The keys whose conditions failed are read again, then the edits are tried again. Only
+        the edits whose own conditions failed may be given up for it: an earlier transaction
+        with them that got no response can't be carried out any more either.
         """
-        self.stale.update(
+        changed_keys = {
             key.replace(records.ENDING_PREFIX, records.JOB_PREFIX, 1) for key in failed_keys
-        )
+        }
+        self.stale.update(changed_keys)
+        is_roster_changed = records.ROSTER_KEY in changed_keys
         for edit in batch.edits:
-            edit.conflict_count += 1
+            is_fenced_off = is_roster_changed and edit.fencing_token is not None
+            if edit.key in changed_keys or is_fenced_off:
+                edit.conflict_count += 1
         self._retry(batch)
 
     def handle_refusal(self, batch: Batch, now: MonotonicTime, pause_s: float) -> None:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -153,6 +153,44 @@
     check([*["refused"] * 30, *["other"] * MAX_CONFLICTS], 3)
 
 
+def test_an_edit_that_is_given_up_is_not_written_by_a_late_transaction() -> None:
+    """Its proposer no longer counts it: a late write of an assignment may exceed a limit."""
+    store, view = StateStore(), View()
+    queue = CommitQueue(view, txn_ops=8, value_kb=16, write_rps=1000)
+    key, contended_key = (records.job_key(JobId(f"job-{number}")) for number in (1, 2))
+    store.set(key, encode_record(JobRecord(SPEC, 0.0)))
+    store.set(contended_key, encode_record(JobRecord(SPEC, 0.0)))
+    settled: list[bool] = []
+
+    def read_all() -> None:
+        for row in store.rows(records.JOB_PREFIX):
+            view.apply_value(row["K"], row["Value"], row["Stamp"])
+        for stale in queue.stale_keys():
+            queue.mark_refreshed(stale)
+
+    def assign_task(job: str, index: int, outcomes: list[bool]) -> Edit:
+        change = jobs.assign([jobs.Assignment(index, "n1", "a", "i-1")])
+        return Edit(job, change, on_settled=lambda ok, _: outcomes.append(ok))
+
+    read_all()
+    queue.propose(assign_task(key, 0, settled))
+    late = queue.next_batch(MonotonicTime(1.0))
+    assert late is not None
+    queue.handle_missing_response(late, MonotonicTime(1.0), 0.1)
+    read_all()
+    for number in range(1, MAX_CONFLICTS + 3):
+        now = MonotonicTime(1.0 + number)
+        queue.propose(assign_task(contended_key, number, []))
+        batch = queue.next_batch(now)
+        assert batch is not None
+        assert settled or set(batch.results) == {key, contended_key}
+        store.set(contended_key, encode_record(JobRecord(SPEC, float(number))))
+        execute_batch("executed", store, queue, batch, now)
+        read_all()
+    late_status, _ = store.commit(60.0, late.body)
+    assert not settled or late_status == 409
+
+
 def test_a_second_cancellation_waits_for_the_first_ones_commit() -> None:
     """In one transaction, the second would be confirmed before anything is written."""
     view = View()
