--- a/coursefold/coordination/core.py
+++ b/coursefold/coordination/core.py
@@ -76,8 +76,8 @@
         }
         self.forwarding = ProposalForwarder(self.ctx, self.frame_builders)
         self.owner = Owner(self.ctx, self.election, self.forwarding.propose)
-        self.leader = Leader(self.ctx, self.owner)
-        self.fleet = FleetManager(self.ctx, self.leader)
+        self.leader = Leader(self.ctx)
+        self.fleet = FleetManager(self.ctx, self.leader, self.owner.remove_machine)
         self.team_usage = TeamUsageMonitor(self.ctx)
         self.extensions: list[Extension] = []
         self.requests = RequestHandler(self.ctx, lambda: self.leader.waiting_reasons)
--- a/coursefold/coordination/fleet.py
+++ b/coursefold/coordination/fleet.py
@@ -7,6 +7,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 from typing import assert_never
 
 from msgspec import Struct
@@ -54,12 +55,13 @@
         lists_read: Complete lists read since this controller began to lead.
     """
 
-    def __init__(self, ctx: Context, leader: Leader) -> None:
+    def __init__(self, ctx: Context, leader: Leader, remove_machine: Callable[[str], None]) -> None:
+        """Takes what removes a machine from those that this controller owns."""
         self.ctx = ctx
         self.leader = leader
         self.parameters = ctx.policy.parameters
         self.cloud = CloudClient(ctx)
-        self.inventory = Inventory(ctx, self.parameters.loss_window, leader.owner.remove_machine)
+        self.inventory = Inventory(ctx, self.parameters.loss_window, remove_machine)
         self.rentals = RentalManager(ctx, self.cloud, self.inventory)
         self.pool_control = PoolControl(ctx, leader, self.inventory, self.rentals)
         self.leading_token = 0
--- a/coursefold/coordination/leader.py
+++ b/coursefold/coordination/leader.py
@@ -10,13 +10,11 @@
 import logging
 from itertools import islice
 from math import inf
-from typing import NamedTuple
 
 from coursefold.coordination import gangs, jobs, preemption
 from coursefold.coordination.context import Context
 from coursefold.coordination.demand import RunTimes
 from coursefold.coordination.ordering import LONG_WAIT_S
-from coursefold.coordination.owner import Owner
 from coursefold.coordination.placement import (
     FailedSearches,
     MachineCapacity,
@@ -24,6 +22,7 @@
     PlacementSearch,
     fits_machine_type,
 )
+from coursefold.coordination.placement_proposals import PlacementProposals, TaskPlacement
 from coursefold.coordination.quota import QuotaTracker
 from coursefold.coordination.team_usage import count_team_usage
 from coursefold.coordination.waiting import (
@@ -34,7 +33,7 @@
 )
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
-from coursefold.storage.edits import LOW_PRIORITY, TOO_LARGE, Edit, EditOrigin
+from coursefold.storage.edits import LOW_PRIORITY, Edit, EditOrigin
 from coursefold.storage.records import PLACED, JobRecord, job_key
 
 log = logging.getLogger(__name__)
@@ -50,18 +49,6 @@
 MAX_DEPENDENT_ENDINGS = 8  # proposed in one round, for jobs that need a cancelled one
 
 
-class TaskPlacement(NamedTuple):
-    """The machine chosen for one task of a job.
-
-    Attributes:
-        number: Index of the task in its job.
-        machine: The machine, on which the task is reserved.
-    """
-
-    number: int
-    machine: MachineCapacity
-
-
 def may_use_offering(spec: Job, offering: MachineOffering) -> bool:
     """Return whether the job allows the offering's machine type, zone and spot."""
     return (
@@ -84,6 +71,7 @@
         logged_reasons: The reason last logged for each waiting job.
         run_times: Run times of finished tasks by class.
         waiting_queue: Orders the jobs that have tasks to place.
+        proposals: Proposes the edits that assign and place tasks.
         preemption: Stops less important tasks.
         available_types: Types of which an ordinary machine takes tasks.
         in_flight: By job, the tasks whose assignment or placement is being written.
@@ -93,8 +81,8 @@
         no_capacity_reasons: By choice of machines, the reason for waiting in this round.
     """
 
-    def __init__(self, ctx: Context, owner: Owner) -> None:
-        self.ctx, self.owner = ctx, owner
+    def __init__(self, ctx: Context) -> None:
+        self.ctx = ctx
         self.requested_machines: dict[str, float] = {}
         self.waiting_reasons: dict[JobId, str] = {}
         self.jobs_without_capacity: set[JobId] = set()
@@ -105,6 +93,7 @@
         self.waiting_queue = WaitingQueue(
             ctx, lambda spec: self.run_times.mean_run_s(spec, ctx.now)
         )
+        self.proposals = PlacementProposals(ctx)
         self.preemption = preemption.Preemption(
             ctx, self.waiting_queue.priority_inheritance.get_priority
         )
@@ -126,6 +115,10 @@
         """Return whether a gang's record would be too large with all its tasks in it."""
         return self.ctx.now < self.unwritable_until.get(name, 0.0)
 
+    def _pause_unwritable(self, name: JobId) -> None:
+        """Plan a gang no more for a while, since its record would be too large."""
+        self.unwritable_until[name] = self.ctx.now + UNWRITABLE_PAUSE_S
+
     def list_queued_jobs(self, quota: QuotaTracker) -> list[QueuedJob]:
         """Return the jobs that could start a task now, the most urgent first."""
         return self.waiting_queue.list_queued_jobs(quota, self.waiting_reasons)
@@ -315,15 +308,6 @@
                 )
             )
 
-    def _clear_prerequisites(self, name: JobId, job: JobRecord) -> None:
-        """Record that all that the job needs is done, in the transaction of its first edit."""
-        ctx = self.ctx
-        if job.open_prerequisites:
-            change = jobs.clear_prerequisites(ctx.view.eligible_at(name, job))
-            ctx.queue.propose(
-                Edit(job_key(name), change, fencing_token=ctx.view.fencing_token, tag="release")
-            )
-
     def _count_tasks_by_zone(self, job: JobRecord) -> dict[str, int]:
         counts: dict[str, int] = {}
         for entry in job.entries:
@@ -343,7 +327,8 @@
             return
         placements = self._choose_machines(queued, machines, quota, in_flight)
         if placements:
-            self._propose_placements(queued.name, queued.job, placements)
+            self.in_flight.setdefault(queued.name, set()).update(p.number for p in placements)
+            self.proposals.place_tasks(queued.name, queued.job, placements)
 
     def _choose_machines(
         self,
@@ -415,39 +400,6 @@
             queued.name, job, number, machines, queued.is_within_guarantee, quota, queued.age_s
         )
 
-    def _propose_placements(
-        self, name: JobId, job: JobRecord, placements: list[TaskPlacement]
-    ) -> None:
-        """Place tasks on this controller's machines and assign the others to their owners."""
-        self._clear_prerequisites(name, job)
-        self.in_flight.setdefault(name, set()).update(placed.number for placed in placements)
-        own_tasks: list[jobs.TaskRef] = []
-        assignments: list[jobs.Assignment] = []
-        for number, machine in placements:
-            if machine.owner == self.ctx.own_name:
-                own_tasks.append(jobs.TaskRef(number, 0, machine.zone, machine.id, machine.session))
-            else:
-                assignments.append(jobs.Assignment(number, machine.owner, machine.zone, machine.id))
-        if own_tasks:
-            self._propose_own_placements(name, job, own_tasks)
-        if assignments:
-            self._propose_assignments(name, job, assignments)
-
-    def _propose_own_placements(
-        self, name: JobId, job: JobRecord, tasks: list[jobs.TaskRef]
-    ) -> None:
-        """Write places on own machines for waiting tasks, without assigning them first."""
-        ctx = self.ctx
-        ctx.queue.propose(
-            Edit(
-                job_key(name),
-                jobs.place_waiting(ctx.own_name, tasks),
-                fencing_token=ctx.view.fencing_token,
-                on_settled=self.owner.owner_placement.track_placement(name, job, tasks),
-                origin=EditOrigin("place_waiting", ctx.own_name),
-            )
-        )
-
     def _get_start_slack_s(self, queued: QueuedJob) -> float:
         """Return how long the start may take on the worker for the job's next objective.
 
@@ -472,30 +424,6 @@
             for machine_type, _, spot in self.booting_offerings
         )
 
-    def _propose_assignments(
-        self, name: JobId, job: JobRecord, assignments: list[jobs.Assignment]
-    ) -> None:
-        ctx = self.ctx
-        for task in assignments:
-            ctx.placements_in_flight[(name, task.number)] = (task.machine, job.spec)
-
-        def on_settled(ok: bool, why: str) -> None:
-            for task in assignments:
-                ctx.placements_in_flight.pop((name, task.number), None)
-            log.debug(
-                "deal %s: %s: %s", name, ",".join(f"{t.number}:{t.owner}" for t in assignments),
-                why or "done",
-            )  # fmt: skip
-
-        edit = Edit(
-            job_key(name),
-            jobs.assign(assignments),
-            fencing_token=ctx.view.fencing_token,
-            on_settled=on_settled,
-            origin=EditOrigin("assign", ctx.own_name),
-        )
-        ctx.queue.propose(edit)
-
     def _serve_gang(
         self, queued: QueuedJob, candidates: gangs.GangCandidates, quota: QuotaTracker
     ) -> None:
@@ -531,7 +459,7 @@
             for machine in unreserved:
                 self._request_machine(machine)
             return
-        self._propose_gang(name, job, plan)
+        self.proposals.place_gang(name, job, plan, lambda: self._pause_unwritable(name))
 
     def _plan_gang(
         self, queued: QueuedJob, candidates: gangs.GangCandidates
@@ -578,33 +506,6 @@
             # has just left free for the gang, which then waits again, for 7 minutes in all.
             quota.add_usage(job.spec, job.spec.task_count)
 
-    def _propose_gang(self, name: JobId, job: JobRecord, plan: list[MachineCapacity]) -> None:
-        """Write the places of all tasks of a gang in one edit."""
-        ctx = self.ctx
-        # Sorted by owner: a record stores places that differ only by machine as one run.
-        places = sorted((m.owner, m.zone, m.id, m.session) for m in plan)
-
-        def on_settled(ok: bool, why: str) -> None:
-            for number in range(job.spec.task_count):
-                ctx.placements_in_flight.pop((name, number), None)
-            if why == TOO_LARGE:
-                self.unwritable_until[name] = ctx.now + UNWRITABLE_PAUSE_S
-            log.info("gang %s on %s: %s", name, ",".join(m.id for m in plan), why or "placed")
-
-        self._clear_prerequisites(name, job)
-        for number, machine in enumerate(plan):
-            ctx.placements_in_flight[(name, number)] = (machine.id, job.spec)
-        edit = Edit(
-            job_key(name),
-            jobs.place_gang(places),
-            fencing_token=ctx.view.fencing_token,
-            tag="gang",
-            on_settled=on_settled,
-            origin=EditOrigin("place_gang", ctx.own_name),
-        )
-        if not ctx.queue.propose(edit):
-            on_settled(False, "under way")
-
     def _may_earmark(self, queued: QueuedJob, candidates: gangs.GangCandidates) -> bool:
         """Return whether less important tasks are kept off machines for a gang.
 
--- a/coursefold/coordination/owner_placement.py
+++ b/coursefold/coordination/owner_placement.py
@@ -1,7 +1,6 @@
 """An owner's choice of machines for the tasks that the leader has assigned to it."""
 
-import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from coursefold.coordination import jobs
 from coursefold.coordination.context import Context
@@ -11,14 +10,13 @@
     MachineCapacity,
     PlacementSearch,
 )
+from coursefold.coordination.placement_proposals import count_in_flight, log_placement
 from coursefold.coordination.transitions import TransitionProposer
 from coursefold.protocol.ids import JobId
 from coursefold.protocol.wire import Job
 from coursefold.storage.edits import LOW_PRIORITY, NORMAL_PRIORITY
 from coursefold.storage.records import LIVE, JobRecord, TaskEntry
 
-log = logging.getLogger(__name__)
-
 MAX_SEARCH_S = 3.0  # then a task that fits no machine goes back to the leader
 
 
@@ -85,7 +83,7 @@
                     name, "undeal", entry, f"undeal{entry.index}", priority=LOW_PRIORITY
                 )
         for name, tasks in found.items():
-            self.propose_placement(name, ctx.view.jobs[name], tasks)
+            self._propose_placement(name, ctx.view.jobs[name], tasks)
 
     def _find_in_flight(self) -> dict[str, list[Job]]:
         """Return by machine the tasks about to be placed where the records do not show them yet."""
@@ -110,27 +108,15 @@
             and min(machine.cpus, machine.gpus, machine.memory_gb) >= -RESOURCE_TOLERANCE
         )
 
-    def propose_placement(self, name: JobId, job: JobRecord, tasks: list[jobs.TaskRef]) -> None:
+    def _propose_placement(self, name: JobId, job: JobRecord, tasks: list[jobs.TaskRef]) -> None:
         """Propose places for assigned tasks of a job in one edit."""
-        transition = jobs.TaskTransition("place", tuple(tasks), self.ctx.own_name)
-        on_settled = self.track_placement(name, job, tasks)
-        self.transitions.propose_transition(name, transition, "", NORMAL_PRIORITY, on_settled)
-
-    def track_placement(
-        self, name: JobId, job: JobRecord, tasks: list[jobs.TaskRef]
-    ) -> Callable[[bool, str], None]:
-        """Count tasks as in flight until the returned function is called with the outcome."""
-        ctx = self.ctx
-        for task in tasks:
-            ctx.placements_in_flight[(name, task.number)] = (task.machine, job.spec)
+        end_count = count_in_flight(
+            self.ctx, name, job.spec, {task.number: task.machine for task in tasks}
+        )
 
         def on_settled(ok: bool, why: str) -> None:
-            for task in tasks:
-                ctx.placements_in_flight.pop((name, task.number), None)
-            places = ",".join(f"{t.number}:{t.machine}" for t in tasks)
-            if ok:
-                log.info("place %s on %s", name, places)
-            else:
-                log.info("place %s on %s: not written: %s", name, places, why)
+            end_count()
+            log_placement(name, tasks, ok, why)
 
-        return on_settled
+        transition = jobs.TaskTransition("place", tuple(tasks), self.ctx.own_name)
+        self.transitions.propose_transition(name, transition, "", NORMAL_PRIORITY, on_settled)
