--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -19,7 +19,7 @@
 from coursefold.protocol.wire import Catalog, Job, MachineType, decode, encode
 from coursefold.storage import codec, records
 from coursefold.storage.edits import Edit, NotApplicableError
-from coursefold.storage.records import Ending, JobRecord
+from coursefold.storage.records import Ending, JobRecord, TaskEntry
 from coursefold.storage.view import MachineLoad
 from tests.world import EPOCH, JOB, World
 
@@ -244,11 +244,16 @@
 def test_no_edit_places_a_blocked_job() -> None:
     """The edit checks the record itself, because the view of the proposer may be outdated."""
     spec = decode(encode(JOB | {"NameId": "job-2"}), Job)
-    record = JobRecord(spec, 0.0, open_prerequisites=["job-1"])
-    for edit in (
-        edits.assign([edits.Assignment(0, "n0", "a", "i-1")]),
-        edits.place("n0", [edits.TaskRef(0, 0, "a", "i-1", 1)]),
-        edits.place_gang([("n0", "a", "i-1", 1)]),
+    waiting = JobRecord(spec, 0.0, open_prerequisites=["job-1"])
+    assigned = msgspec.structs.replace(
+        waiting, entries=[TaskEntry(0, records.ASSIGNED, 0, "n0", "a", "i-1")]
+    )
+    task = edits.TaskRef(0, 0, "a", "i-1", 1)
+    for edit, record in (
+        (edits.assign([edits.Assignment(0, "n0", "a", "i-1")]), waiting),
+        (edits.place("n0", [task]), assigned),
+        (edits.place_waiting("n0", [task]), waiting),
+        (edits.place_gang([("n0", "a", "i-1", 1)]), waiting),
     ):
         with pytest.raises(NotApplicableError, match="waits for other jobs"):
             edit(record)
