--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -20,13 +20,14 @@
 )
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, MonotonicTime, WallTime
-from coursefold.protocol.wire import DirectCommands, KeyRow, WatchResponse, encode
+from coursefold.protocol.wire import DirectCommands, WatchResponse, encode
 from coursefold.settings import Settings
 from coursefold.step_times import StepTimes
-from coursefold.storage import codec, record_parts, records
+from coursefold.storage import codec, records
 from coursefold.storage.batches import Batch
 from coursefold.storage.loading import IncompleteLoadError, RecordLoader, apply_changes
 from coursefold.storage.records import Ending, count_by_kind, ending_key
+from coursefold.storage.rereading import KeyReader, PartsRequest
 from coursefold.transport.http_client import HttpClient, NoResponseError
 from coursefold.transport.peers import PeerSender, PeerServer
 from coursefold.transport.server import Server
@@ -525,38 +526,18 @@
         Returns:
             Whether the state service responded.
         """
-        queue, view = self.core.queue, self.core.view
+        reader = KeyReader(key)
         try:
-            row = await self.state_client.get_row(key)
-            if row is not None:
-                parts: list[KeyRow] = []
-                if isinstance(row.value, dict):
-                    parts = await self.state_client.list_rows(record_parts.part_key_prefix(key))
-                self._enter_core()
-                view.apply_value(key, row.value, row.version)
-                for part in parts:
-                    view.apply_value(part.key, part.value, part.version)
-                # Parts of a later version belong to a newer head, so the key has to be read again.
-                if not view.has_missing_parts(key):
-                    queue.mark_refreshed(key)
-            elif key.startswith(records.JOB_PREFIX):
-                ended = await self.state_client.get_row(
-                    key.replace(records.JOB_PREFIX, records.ENDING_PREFIX, 1)
-                )
-                self._enter_core()
-                if ended is not None:
-                    view.apply_removal(key, ended.version)
-                    queue.settle_ended_job(key)
+            while (request := reader.next_request()) is not None:
+                if isinstance(request, PartsRequest):
+                    reader.receive_parts(await self.state_client.list_rows(request.prefix))
                 else:
-                    queue.mark_refreshed(key)
-            else:
-                self._enter_core()
-                known = view.version_of(key)
-                view.apply_removal(key, known)
-                queue.mark_refreshed(key)
+                    reader.receive_row(await self.state_client.get_row(request.key))
         except UnavailableError as error:
             log.debug("reading a key failed: %s", error)
             return False
+        self._enter_core()
+        reader.store_in(self.core.queue)
         self._request_tick()
         return True
 
