Fix: a late "no such key" removes the record that was written after it

Cause: a controller's first transaction, the one by which it joins, is carried out after its caller has given up. The reread that follows finds no member key, and while its response is on its way the transaction is carried out and the watch brings the record. The response was then applied as a removal at the version of whatever record the view had by then: the newer record was removed, and its own version remembered as that of a removal, so that each later read of it was ignored. The controller joins again, on the condition that there is no key: 409, for ever.

Why this works: a 404 names the revision at which the key was absent (PROTOCOL, GET /keys). A record with a later version was created after the read and stays, an older one is gone. A job that is absent and has no ending, a deleted guest, is removed from the view in the same way.

The simulated controllers use the same reader now, with responses that may be late; before, they brought the whole view up to date for a stale key, and no test could see this. Commits without a response have a minimum delay.

--- a/coursefold/protocol/wire.py
+++ b/coursefold/protocol/wire.py
@@ -174,6 +174,12 @@
     version: int = field(name="Stamp")
 
 
+class MissingKey(Struct, frozen=True):
+    """The response to a read of a key that did not exist at this revision."""
+
+    revision: int = field(name="Ledger")
+
+
 class KeyRows(Struct, frozen=True):
     """One page of keys, and a revision that the page is at least as new as."""
 
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -20,7 +20,7 @@
 )
 from coursefold.policy import Policy
 from coursefold.protocol.ids import JobId, MonotonicTime, WallTime
-from coursefold.protocol.wire import DirectCommands, WatchResponse, encode
+from coursefold.protocol.wire import DirectCommands, KeyRow, WatchResponse, encode
 from coursefold.settings import Settings
 from coursefold.step_times import StepTimes
 from coursefold.storage import codec, records
@@ -548,7 +548,7 @@
             if not self.state_client.try_reserve_read():
                 raise UnavailableError("this controller's part of the read rate is used up", 429)
             row = await self.state_client.get_row(ending_key(job))
-            if row is not None:
+            if isinstance(row, KeyRow):
                 ending = codec.decode_record(row.key, row.value)
                 found = ending if isinstance(ending, Ending) else None
         except (UnavailableError, msgspec.ValidationError) as error:
--- a/coursefold/storage/rereading.py
+++ b/coursefold/storage/rereading.py
@@ -7,7 +7,7 @@
 import logging
 from typing import NamedTuple
 
-from coursefold.protocol.wire import KeyRow
+from coursefold.protocol.wire import KeyRow, MissingKey
 from coursefold.storage import record_parts, records
 from coursefold.storage.queue import CommitQueue
 
@@ -31,33 +31,34 @@
 
     Attributes:
         key: The key.
-        row: The value that was read; None if there was none.
+        found: The response to the read of the key; None before.
         parts: The parts of a split record.
-        ending: The archived ending of a job that is not live any more; None if there was none.
+        ending: The response to the read of a job's ending; None for other keys and live jobs.
     """
 
     def __init__(self, key: str) -> None:
         self.key = key
-        self.row: KeyRow | None = None
+        self.found: KeyRow | MissingKey | None = None
         self.parts: list[KeyRow] = []
-        self.ending: KeyRow | None = None
+        self.ending: KeyRow | MissingKey | None = None
         self._next_request: RowRequest | PartsRequest | None = RowRequest(key)
 
     def next_request(self) -> RowRequest | PartsRequest | None:
         """Return the next request to send; None once all that is needed has been read."""
         return self._next_request
 
-    def receive_row(self, row: KeyRow | None) -> None:
+    def receive_row(self, found: KeyRow | MissingKey) -> None:
         """Take the response to a `RowRequest`."""
         request, self._next_request = self._next_request, None
         if request != RowRequest(self.key):
-            self.ending = row
+            self.ending = found
             return
-        self.row = row
-        if row is None and self.key.startswith(records.JOB_PREFIX):
-            ending_key = self.key.replace(records.JOB_PREFIX, records.ENDING_PREFIX, 1)
-            self._next_request = RowRequest(ending_key)
-        elif row is not None and isinstance(row.value, dict):
+        self.found = found
+        if isinstance(found, MissingKey):
+            if self.key.startswith(records.JOB_PREFIX):
+                ending_key = self.key.replace(records.JOB_PREFIX, records.ENDING_PREFIX, 1)
+                self._next_request = RowRequest(ending_key)
+        elif isinstance(found.value, dict):
             self._next_request = PartsRequest(record_parts.part_key_prefix(self.key))
 
     def receive_parts(self, parts: list[KeyRow]) -> None:
@@ -69,19 +70,10 @@
 
         The key stays stale if parts of its record are of a later version than its head.
         """
-        view = queue.view
-        if self.row is not None:
-            self._store_row(queue, self.row)
-        elif self.ending is not None:
-            view.apply_removal(self.key, self.ending.version)
-            queue.settle_ended_job(self.key)
-        elif self.key.startswith(records.JOB_PREFIX):
-            queue.mark_refreshed(self.key)
-        else:
-            version = view.version_of(self.key)
-            if view.apply_removal(self.key, version):
-                log.info("key %s was read as absent: version %d removed", self.key, version)
-            queue.mark_refreshed(self.key)
+        if isinstance(self.found, KeyRow):
+            self._store_row(queue, self.found)
+        elif isinstance(self.found, MissingKey):
+            self._store_absence(queue, self.found)
 
     def _store_row(self, queue: CommitQueue, row: KeyRow) -> None:
         view = queue.view
@@ -98,3 +90,25 @@
                 " that of version %d",
                 self.key, row.version, known_version,
             )  # fmt: skip
+
+    def _store_absence(self, queue: CommitQueue, missing: MissingKey) -> None:
+        view = queue.view
+        revision = missing.revision
+        if isinstance(self.ending, KeyRow):
+            revision = max(revision, self.ending.version)
+        version = view.version_of(self.key)
+        # The record was perhaps created after the read: only the revision of the response tells.
+        if view.apply_removal(self.key, revision):
+            log.info(
+                "key %s was read as absent at revision %d: version %d removed",
+                self.key, revision, version,
+            )  # fmt: skip
+        elif version > revision:
+            log.info(
+                "key %s was read as absent at revision %d, which is not used: version %d is known",
+                self.key, revision, version,
+            )  # fmt: skip
+        if isinstance(self.ending, KeyRow):
+            queue.settle_ended_job(self.key)
+        else:
+            queue.mark_refreshed(self.key)
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -487,7 +487,9 @@
                 del assigned[key]
 
     def apply_removal(self, key: str, version: int) -> bool:
-        """Apply a key's removal at the revision `version`.
+        """Apply a key's removal at the revision `version`, or its absence at that revision.
+
+        A record with a later version was created after that, so it stays.
 
         Returns:
             Whether the view changed. False if a newer value is known, if there was no record,
--- a/coursefold/transport/state.py
+++ b/coursefold/transport/state.py
@@ -14,6 +14,7 @@
     KeyRows,
     Lease,
     MalformedError,
+    MissingKey,
     WatchResponse,
     decode,
     encode,
@@ -115,10 +116,11 @@
         status, _ = await self._send("POST", f"/leases/{lease_id}/touch", {})
         return status == 200
 
-    async def get_row(self, key: str) -> KeyRow | None:
-        """Return a key's value and version; None if the key does not exist."""
+    async def get_row(self, key: str) -> KeyRow | MissingKey:
+        """Return a key's value and version, or the revision at which the key did not exist."""
         status, response = await self._send("GET", f"/keys/{key}")
-        return self._decode(response, KeyRow) if status == 200 else None
+        found: KeyRow | MissingKey = self._decode(response, KeyRow if status == 200 else MissingKey)
+        return found
 
     async def list_rows(self, prefix: str) -> list[KeyRow]:
         """Return all keys with a prefix."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -49,6 +49,9 @@
             got their full duration again.
         lost_commits: Share of commits whose response is lost.
         lost_commit_delay_s: A commit whose response is lost is carried out within this time.
+        lost_commit_min_delay_s: It is not carried out earlier than after this time.
+        slow_read_share: Share of the reads of single keys whose response is late.
+        slow_read_s: A late response to such a read arrives within this time.
         duplicate_share: Share of workers' reports of which a late copy is delivered.
         kept_share: Share of workers' reports that are added to `kept_reports`.
         kept_reports: Copies of reports, delivered later by `deliver_kept_reports`.
@@ -93,7 +96,8 @@
         self.outage_until = self.cloud_down_until = self.peers_refused_until = 0.0
         self.leases_extended_at = 0.0
         self.lost_commits = self.duplicate_share = 0.0
-        self.lost_commit_delay_s = 9.0
+        self.lost_commit_min_delay_s, self.lost_commit_delay_s = 0.0, 9.0
+        self.slow_read_share, self.slow_read_s = 0.0, 1.4
         self.kept_share = self.cancel_at_end_share = self.quick_boot_share = 0.0
         self.kept_reports: list[bytes] = []
         self.request_sent_at = 0.0
--- a/tests/fleet_node.py
+++ b/tests/fleet_node.py
@@ -12,9 +12,10 @@
 from coursefold.storage import records
 from coursefold.storage.batches import Batch
 from coursefold.storage.loading import RecordLoader, apply_changes
+from coursefold.storage.rereading import KeyReader
 from tests.fleet_jobs import RuleBrokenError
 from tests.production import OURS
-from tests.world import EPOCH, SETTINGS
+from tests.world import EPOCH, SETTINGS, send_read
 
 if TYPE_CHECKING:
     from tests.fleet import Fleet
@@ -42,6 +43,7 @@
         load_rng: Draws the delays between the pages of a load.
         pending_requests: Functions that take the response, by ticket.
         in_flight: Transactions sent and not answered.
+        keys_being_read: Stale keys with a read that was sent and not answered.
     """
 
     def __init__(self, world: "Fleet", number: int) -> None:
@@ -78,6 +80,7 @@
         self.pending_requests: dict[int, Callable[[Response | None], None]] = {}
         self.tickets = 0
         self.in_flight = 0
+        self.keys_being_read: set[str] = set()
         incarnation = self.incarnation
         for member in self.core.frame_builders:
             self._connect(member, incarnation)
@@ -244,12 +247,10 @@
         world, queue = self.world, self.core.queue
         now = MonotonicTime(1000.0 + world.now)
         if queue.stale and self.state_up():
-            self._apply_changes()
-            for key in queue.stale_keys():
-                ended = world.store.row(key.replace(records.JOB_PREFIX, records.ENDING_PREFIX))
-                if key.startswith(records.JOB_PREFIX) and key not in world.store.keys and ended:
-                    queue.settle_ended_job(key)
-                queue.mark_refreshed(key)
+            if self.version is OURS:
+                self._reread_stale_keys()
+            else:
+                self._refresh_stale_keys()
         while self.in_flight < 3:
             batch = queue.next_batch(now)
             if batch is None:
@@ -259,6 +260,50 @@
                 return
             self._send(batch)
 
+    def _reread_stale_keys(self) -> None:
+        """Read stale keys again, as `coursefold.service` does; the responses may be late."""
+        for key in self.core.queue.stale_keys():
+            if key not in self.keys_being_read:
+                self.keys_being_read.add(key)
+                self._reread(KeyReader(key), self.incarnation)
+
+    def _reread(self, reader: KeyReader, incarnation: int) -> None:
+        """Send the reader's next request, or apply what was read."""
+        if self.incarnation != incarnation or self.defer_while_frozen(
+            lambda: self._reread(reader, incarnation)
+        ):
+            return
+        deliver = send_read(reader, self.world.store) if self.state_up() else None
+        if deliver is not None:
+
+            def arrive() -> None:
+                deliver()
+                self._reread(reader, incarnation)
+
+            self.world.after(self._read_delay_s(), arrive)
+            return
+        self.keys_being_read.discard(reader.key)
+        if reader.next_request() is None:
+            self.enter()
+            reader.store_in(self.core.queue)
+            self.flush()
+
+    def _read_delay_s(self) -> float:
+        """Draw after how many seconds the response to a read arrives."""
+        if self.load_rng.random() < self.world.slow_read_share:
+            return self.load_rng.uniform(0.1, self.world.slow_read_s)
+        return self.load_rng.uniform(0.002, 0.02)
+
+    def _refresh_stale_keys(self) -> None:
+        """Bring the whole view of a controller in production up to date for its stale keys."""
+        queue, store = self.core.queue, self.world.store
+        self._apply_changes()
+        for key in queue.stale_keys():
+            ended = store.row(key.replace(records.JOB_PREFIX, records.ENDING_PREFIX))
+            if key.startswith(records.JOB_PREFIX) and key not in store.keys and ended:
+                queue.settle_ended_job(key)
+            queue.mark_refreshed(key)
+
     def _send(self, batch: Batch) -> None:
         """Send a transaction; it is carried out within 50 ms, or later if its response is lost."""
         world, core = self.world, self.core
@@ -270,7 +315,7 @@
         is_lost = world.rng.random() < world.lost_commits
         delay = world.rng.uniform(0.005, 0.05)
         if is_lost:
-            delay = world.rng.uniform(0.0, world.lost_commit_delay_s)
+            delay = world.rng.uniform(world.lost_commit_min_delay_s, world.lost_commit_delay_s)
 
         def carry_out() -> None:
             status, body = world.store.commit(world.now, batch.body)
--- /dev/null
+++ b/tests/test_rereading.py
@@ -0,0 +1,230 @@
+"""What a controller rereads may be older than what it has watched meanwhile."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coursefold.protocol.ids import JobId, MemberName
+from coursefold.protocol.wire import Job, KeyRow, MissingKey, WatchResponse, decode, encode
+from coursefold.service import Service
+from coursefold.storage import codec, records
+from coursefold.storage.loading import apply_changes
+from coursefold.storage.queue import CommitQueue
+from coursefold.storage.records import JobRecord, MemberRecord
+from coursefold.storage.rereading import KeyReader, PartsRequest
+from coursefold.storage.view import View
+from tests.fleet import Fleet
+from tests.standins.state import StateStore
+from tests.test_loopback import create_settings, find_free_ports
+from tests.world import JOB
+
+SPEC = decode(encode(JOB | {"NameId": "job-1"}), Job)
+MEMBER_KEY = records.member_key(MemberName("n0"))
+MEMBER = MemberRecord("n0", 7, "a")
+
+# A key of each kind whose removals matter, and a record for it.
+RECORDS: dict[str, msgspec.Struct] = {
+    MEMBER_KEY: MEMBER,
+    records.job_key(JobId("job-1")): JobRecord(SPEC, 0.0),
+}
+
+
+class LateStateService:
+    """A state service for one `Service`; the response to the first read of a key is held back.
+
+    Attributes:
+        store: The keys.
+        while_held: Called between the read and its response.
+    """
+
+    def __init__(self, while_held: Callable[[], Awaitable[None]]) -> None:
+        self.store = StateStore()
+        self.while_held = while_held
+        self.is_first = True
+
+    async def fetch(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Return the status and body of a response, as `HttpClient.fetch` does."""
+        assert method == "GET"
+        row = self.store.row(path.removeprefix("/keys/"))
+        response = (200, encode(row)) if row else (404, encode({"Ledger": self.store.revision}))
+        if self.is_first:
+            self.is_first = False
+            await self.while_held()
+        return response
+
+
+@pytest.mark.parametrize("key", list(RECORDS))
+def test_a_key_that_is_written_while_it_is_read_as_absent_is_kept(key: str) -> None:
+    """Guards against a controller that joins without end (review/4).
+
+    The record that the watch had brought was removed by the late response to a read before it,
+    and every later read of the same version was ignored.
+    """
+
+    async def reread() -> Service:
+        service = Service(create_settings(0, find_free_ports(8)))
+        view = service.core.view
+
+        async def write_and_watch() -> None:
+            state_service.store.set(key, codec.encode_record(RECORDS[key]))
+            changes = {"Ledger": 2, "News": state_service.store.since(1, records.ROOT)}
+            apply_changes(view, msgspec.convert(changes, WatchResponse))
+
+        state_service = LateStateService(write_and_watch)
+        state_service.store.set("cf/roster", ["n1", []])
+        service.state_client.client = state_service  # type: ignore[assignment]
+        assert await service._reread_key(key)
+        assert view.version_of(key) == 2  # the traced cause: 0, although the watch brought it
+        assert await service._reread_key(key)  # as after the next conflict
+        return service
+
+    view = asyncio.run(reread()).core.view
+    assert view.version_of(key) == 2
+    assert view.records_by_key[key].record == RECORDS[key]
+
+
+def test_a_job_that_was_read_as_absent_is_removed() -> None:
+    """A guest's record is deleted without an ending; its edits would conflict until the watch."""
+    key = records.job_key(JobId("job-1"))
+    view = View()
+    view.apply_value(key, codec.encode_record(JobRecord(SPEC, 0.0)), 5)
+    queue = CommitQueue(view, txn_ops=4, value_kb=16, write_rps=1000)
+    reader = KeyReader(key)
+    reader.receive_row(MissingKey(6))
+    reader.receive_row(MissingKey(6))
+    reader.store_in(queue)
+    assert key not in view.records_by_key
+    assert not view.jobs
+
+
+class Delivery(NamedTuple):
+    """Something that a controller is told late: how to take it, and as of which revision."""
+
+    take: Callable[[], None]
+    revision: int
+
+
+class Controller:
+    """A view and the state service that it follows; each response may arrive late.
+
+    Attributes:
+        versions: The version of the key after each of its changes; 0 for a removal.
+        told_revision: The newest revision as of which the view was told of the key.
+        late: Responses that have not arrived yet.
+    """
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+        self.store, self.view = StateStore(), View()
+        self.queue = CommitQueue(self.view, txn_ops=8, value_kb=16, write_rps=1e6)
+        self.versions: dict[int, int] = {0: 0}
+        self.told_revision = 0
+        self.late: list[Delivery] = []
+
+    def write(self) -> None:
+        """Let another controller write the key."""
+        self.store.set(self.key, codec.encode_record(RECORDS[self.key]))
+        self.versions[self.store.revision] = self.store.revision
+
+    def remove(self) -> None:
+        """Let another controller remove the key."""
+        if self.key in self.store.keys:
+            self.store.commit(0.0, {"Then": [{"Remove": self.key}]})
+            self.versions[self.store.revision] = 0
+
+    def write_other_key(self) -> None:
+        """Let another controller write a key that is not looked at."""
+        self.store.set("cf/roster", ["n1", []])
+
+    def read(self) -> None:
+        """Read the key; the response arrives later."""
+        reader = KeyReader(self.key)
+        while (request := reader.next_request()) is not None:
+            if isinstance(request, PartsRequest):
+                reader.receive_parts([])
+                continue
+            row = self.store.row(request.key)
+            reader.receive_row(
+                msgspec.convert(row, KeyRow) if row else MissingKey(self.store.revision)
+            )
+        found = reader.found
+        as_of = found.version if isinstance(found, KeyRow) else self.store.revision
+        self.late.append(Delivery(lambda: reader.store_in(self.queue), as_of))
+
+    def watch(self) -> None:
+        """Take all changes that the view lacks."""
+        changes = self.store.since(self.view.revision, records.ROOT)
+        response = {"Ledger": self.store.revision, "News": changes}
+        apply_changes(self.view, msgspec.convert(response, WatchResponse))
+        self.told_revision = self.store.revision
+
+    def receive_late(self, index: int) -> None:
+        """Let one of the late responses arrive; they may overtake each other."""
+        if self.late:
+            delivery = self.late.pop(index % len(self.late))
+            delivery.take()
+            self.told_revision = max(self.told_revision, delivery.revision)
+
+    def expected_version(self) -> int:
+        """Return the key's version at the newest revision that the view was told of."""
+        last_change = max(r for r in self.versions if r <= self.told_revision)
+        return self.versions[last_change]
+
+
+READS = ["write", "remove", "other", "read", "watch", "late"]
+
+
+def play(key: str, plan: list[tuple[str, Any]]) -> None:
+    """Play the steps; after each, the view must be as new as the newest response."""
+    controller = Controller(key)
+    steps: dict[str, Callable[[], None]] = {
+        "write": controller.write,
+        "remove": controller.remove,
+        "other": controller.write_other_key,
+        "read": controller.read,
+        "watch": controller.watch,
+    }
+    for step, index in [*plan, *[("late", 0)] * len(plan), ("watch", 0)]:
+        if step == "late":
+            controller.receive_late(index)
+        else:
+            steps[step]()
+        assert controller.view.version_of(key) == controller.expected_version()
+
+
+@settings(max_examples=300)
+@given(
+    st.sampled_from(list(RECORDS)),
+    st.lists(st.tuples(st.sampled_from(READS), st.integers(0, 5)), max_size=30),
+)
+def test_reads_that_arrive_late_never_replace_anything_newer(
+    key: str, plan: list[tuple[str, int]]
+) -> None:
+    """Guards against a late response that brings an older record back, or removes a newer one."""
+    play(key, plan)
+
+
+@pytest.mark.parametrize("seed", [2, 6, 8])
+def test_controllers_join_whose_first_transactions_are_carried_out_late(seed: int) -> None:
+    """Guards against controllers that join without end (review/4)."""
+    fleet = Fleet(seed, nodes=3)
+    for node in fleet.nodes:
+        node.stop()
+    fleet.run(5.0)
+    fleet.lost_commits = fleet.slow_read_share = 1.0
+    fleet.lost_commit_min_delay_s, fleet.lost_commit_delay_s = 1.6, 2.2
+    for node in fleet.nodes:
+        node.start()
+    fleet.run(10.0)
+    fleet.lost_commits = fleet.slow_read_share = 0.0
+    fleet.submit("job-1", 5.0, Pieces=4)
+    fleet.run(75.0)
+    assert all(node.core.ctx.own_record() is not None for node in fleet.nodes)
+    assert fleet.jobs["job-1"].told_status == "done"
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 `tests/traces` are executed with it.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -21,11 +22,19 @@
 )
 from coursefold.protocol import peer_pb2
 from coursefold.protocol.ids import JobId, MonotonicTime, WallTime
-from coursefold.protocol.wire import Catalog, KeyRows, WatchResponse, encode
+from coursefold.protocol.wire import (
+    Catalog,
+    KeyRow,
+    KeyRows,
+    MissingKey,
+    WatchResponse,
+    encode,
+)
 from coursefold.settings import Settings
 from coursefold.storage import codec, records
 from coursefold.storage.loading import RecordLoader, apply_changes
 from coursefold.storage.records import Ending
+from coursefold.storage.rereading import KeyReader, PartsRequest
 from coursefold.storage.view import View
 from tests.standins.state import StateStore
 
@@ -89,6 +98,19 @@
     loader.store_in(view)
 
 
+def send_read(reader: KeyReader, store: StateStore) -> Callable[[], None] | None:
+    """Carry out a reader's next request; return what delivers the response, or None at the end."""
+    request = reader.next_request()
+    if request is None:
+        return None
+    if isinstance(request, PartsRequest):
+        parts = [msgspec.convert(row, KeyRow) for row in store.rows(request.prefix)]
+        return lambda: reader.receive_parts(parts)
+    row = store.row(request.key)
+    found = MissingKey(store.revision) if row is None else msgspec.convert(row, KeyRow)
+    return lambda: reader.receive_row(found)
+
+
 class World:
     """The controller `n0`, a state service, a cloud, and the simulated clock.
 
@@ -200,11 +222,10 @@
         for key in queue.stale_keys():
             if self.state == "up":
                 reread = True
-                self._watch()
-                ended = self.store.row(key.replace(records.JOB_PREFIX, records.ENDING_PREFIX))
-                if key.startswith(records.JOB_PREFIX) and key not in self.store.keys and ended:
-                    queue.settle_ended_job(key)
-                queue.mark_refreshed(key)
+                reader = KeyReader(key)
+                while (deliver := send_read(reader, self.store)) is not None:
+                    deliver()
+                reader.store_in(queue)
         batch = queue.next_batch(now)
         if batch is None:
             return reread or bool(self.core.ctx.effects)
