Fix: an own commit that is answered late brings an archived job back

`handle_success` stored an own record if its revision was higher than the version of the key's record. A key that is gone has no record and no version, so any answer was newer.

On the queue: a cancellation is committed, the job ends, is archived and watched, then the answer arrives; the job, its entry and its use are in the view again.

Why this works: `View.is_newer` compares with the last known change of the key, removals included, and now decides for values that were read, for parts, and for own commits.

Measured: test_a_job_that_ended_meanwhile_does_not_come_back_with_a_late_ response and test_own_commits_that_are_answered_late_never_replace_anything_ newer fail with the code before (commit, removal, watch, answer: version 1 in place of none) and pass now.

--- a/coursefold/storage/queue.py
+++ b/coursefold/storage/queue.py
@@ -354,14 +354,18 @@
         return not builder.exceeds_size(change)  # a smaller change may still fit
 
     def handle_success(self, batch: Batch, revision: int) -> None:
-        """Handle the success of a transaction, which was carried out at this revision."""
+        """Handle the success of a transaction, which was carried out at this revision.
+
+        The response may be late: what is known already of a later revision stays.
+        """
         for key, result in batch.results.items():
             self.in_flight.discard(key)
             if isinstance(result, (DeleteKey, ArchiveEnding)):
                 self.view.apply_removal(key, revision)
                 if isinstance(result, ArchiveEnding):
                     self.view.remember_ending(key, result.ending)
-            elif revision > self.view.version_of(key):
+            elif self.view.is_newer(key, revision):
+                # The key may have been removed after the transaction, and the removal watched.
                 self.view.store_record(key, result, revision, batch.part_counts.get(key, 0))
         if self.on_jobs_committed is not None and batch.jobs_before:
             self.on_jobs_committed(self._list_committed_jobs(batch, revision))
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -170,6 +170,10 @@
         known = self.records_by_key.get(key)
         return known.version if known else 0
 
+    def is_newer(self, key: str, version: int) -> bool:
+        """Return whether a value of this version is newer than what is known of its key."""
+        return version > self.last_change_version(key)
+
     def apply_value(self, key: str, value: Any, version: int) -> bool:
         """Apply a key's value as it was read from the state service.
 
@@ -181,7 +185,7 @@
             return self._apply_ending(key, value)
         if key.startswith(records.PART_PREFIX):
             return self._apply_part(key, value, version)
-        if version <= self.version_of(key) or version <= self.removal_versions.get(key, 0):
+        if not self.is_newer(key, version):
             return False
         part_count = 0
         try:
@@ -223,7 +227,7 @@
 
     def _apply_part(self, part: str, value: Any, version: int) -> bool:
         key = record_parts.head_key(part)
-        if version <= self.version_of(key) or version <= self.removal_versions.get(key, 0):
+        if not self.is_newer(key, version):
             return False  # the head is known already, from this controller's own commit
         if not isinstance(value, str) or version < self._pending_parts.get(part, ("", 0))[1]:
             return False
--- a/tests/test_rereading.py
+++ b/tests/test_rereading.py
@@ -1,4 +1,4 @@
-"""What a controller rereads may be older than what it has watched meanwhile."""
+"""Responses of the state service may be older than what a controller has watched meanwhile."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -9,13 +9,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coursefold.protocol.ids import JobId, MemberName
+from coursefold.coordination import jobs
+from coursefold.protocol.ids import JobId, MemberName, MonotonicTime
 from coursefold.protocol.wire import Job, KeyRow, MissingKey, WatchResponse, decode, encode
 from coursefold.service import Service
 from coursefold.storage import codec, records
+from coursefold.storage.edits import Edit
 from coursefold.storage.loading import apply_changes
 from coursefold.storage.queue import CommitQueue
-from coursefold.storage.records import JobRecord, MemberRecord
+from coursefold.storage.records import Ending, JobRecord, MemberRecord, TaskEntry
 from coursefold.storage.rereading import KeyReader, PartsRequest
 from coursefold.storage.view import View
 from tests.fleet import Fleet
@@ -118,6 +120,7 @@
         versions: The version of the key after each of its changes; 0 for a removal.
         told_revision: The newest revision as of which the view was told of the key.
         late: Responses that have not arrived yet.
+        clock: The local time in seconds.
     """
 
     def __init__(self, key: str) -> None:
@@ -127,6 +130,7 @@
         self.versions: dict[int, int] = {0: 0}
         self.told_revision = 0
         self.late: list[Delivery] = []
+        self.clock = 0.0
 
     def write(self) -> None:
         """Let another controller write the key."""
@@ -165,6 +169,25 @@
         apply_changes(self.view, msgspec.convert(response, WatchResponse))
         self.told_revision = self.store.revision
 
+    def commit(self) -> None:
+        """Commit an own change of the key, if none is under way; the response arrives later."""
+        record = RECORDS[self.key]
+        self.queue.propose(Edit(self.key, lambda _: record, tag="change"))
+        for key in self.queue.stale_keys():
+            self.queue.mark_refreshed(key)
+        self.clock += 1.0
+        batch = self.queue.next_batch(MonotonicTime(self.clock))
+        if batch is None:
+            return
+        status, body = self.store.commit(self.clock, batch.body)
+        revision = int(body["Ledger"])
+        if status == 409:
+            failed = body["failed"]
+            self.late.append(Delivery(lambda: self.queue.handle_conflict(batch, failed), 0))
+            return
+        self.versions[revision] = revision
+        self.late.append(Delivery(lambda: self.queue.handle_success(batch, revision), revision))
+
     def receive_late(self, index: int) -> None:
         """Let one of the late responses arrive; they may overtake each other."""
         if self.late:
@@ -179,6 +202,7 @@
 
 
 READS = ["write", "remove", "other", "read", "watch", "late"]
+COMMITS = ["write", "remove", "other", "commit", "watch", "late"]
 
 
 def play(key: str, plan: list[tuple[str, Any]]) -> None:
@@ -189,6 +213,7 @@
         "remove": controller.remove,
         "other": controller.write_other_key,
         "read": controller.read,
+        "commit": controller.commit,
         "watch": controller.watch,
     }
     for step, index in [*plan, *[("late", 0)] * len(plan), ("watch", 0)]:
@@ -211,6 +236,49 @@
     play(key, plan)
 
 
+@settings(max_examples=300)
+@given(
+    st.sampled_from(list(RECORDS)),
+    st.lists(st.tuples(st.sampled_from([*COMMITS, "read"]), st.integers(0, 5)), max_size=30),
+)
+def test_own_commits_that_are_answered_late_never_replace_anything_newer(
+    key: str, plan: list[tuple[str, int]]
+) -> None:
+    """Guards against an own record that comes back after its key was removed (review/5)."""
+    play(key, plan)
+
+
+def test_a_job_that_ended_meanwhile_does_not_come_back_with_a_late_response() -> None:
+    """Guards against an archived job that fills its team's limit for good (review/5).
+
+    The response to its cancellation came after the watch had shown the ending's archiving.
+    """
+    key = records.job_key(JobId("job-1"))
+    store, view = StateStore(), View()
+    queue = CommitQueue(view, txn_ops=4, value_kb=16, write_rps=1000)
+    placed = JobRecord(SPEC, 0.0, entries=[TaskEntry(0, records.PLACED, 1, "n1", "a", "i-1", 1)])
+
+    def watch() -> None:
+        changes = {"Ledger": store.revision, "News": store.since(view.revision, records.ROOT)}
+        apply_changes(view, msgspec.convert(changes, WatchResponse))
+
+    store.set(key, codec.encode_record(placed))
+    watch()
+    assert view.team_usage[SPEC.team] == [SPEC.cpus, SPEC.gpus]
+    queue.propose(Edit(key, jobs.cancel()))
+    batch = queue.next_batch(MonotonicTime(1.0))
+    assert batch is not None
+    _, response = store.commit(1.0, batch.body)
+    ending = codec.encode_record(Ending(records.CANCELLED, 1))
+    store.set(key, ending)  # its owner found the task gone
+    store.commit(1.0, {"Then": [{"Remove": key}, {"Set": "cf/e/job-1", "Value": ending}]})
+    watch()
+    queue.handle_success(batch, response["Ledger"])
+    assert not view.jobs
+    assert not view.has_entries_on("i-1")
+    assert view.team_usage[SPEC.team] == [0.0, 0.0]
+
+
 @pytest.mark.parametrize("seed", [2, 6, 8])
 def test_controllers_join_whose_first_transactions_are_carried_out_late(seed: int) -> None:
     """Guards against controllers that join without end (review/4)."""
