Fix: a load of all records could lower the revision that the view has reached

What callers could see: nothing was seen. A controller that has lost its watch and loads anew claims to know less than it does, so outcomes of the leader wait longer and a leader may pause until the watch has caught up.

Users' polls refresh the view meanwhile, so it may have applied later changes.

Evidence: found by reading.

Why this works: the revision only rises. The rows of a load cannot undo a later change: each is compared with what is known of its key.

Tests of rereading, loading, roster, traces, shares' guards, restarted cells: passed.

--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -594,5 +594,6 @@
                 self.apply_removal(key, revision)
         for key, value, version in rows:
             self.apply_value(key, value, version)
-        self.revision = revision
+        # Changes that were read while the load was under way may be newer.
+        self.revision = max(self.revision, revision)
         self.is_loaded = True
--- a/tests/test_rereading.py
+++ b/tests/test_rereading.py
@@ -305,8 +305,10 @@
 def test_whatever_arrives_late_the_view_ends_up_as_the_state_service(key: str, plan: Plan) -> None:
     """Guards against a record of any kind that stays in the view after it was removed."""
     controller = Controller(key)
+    revision = 0
     for _ in play(controller, plan):
-        pass
+        assert controller.view.revision >= revision  # what was read completely stays so
+        revision = controller.view.revision
     stored = controller.store.keys.get(key)
     assert controller.view.version_of(key) == (stored[1] if stored else 0)
 
