Fix: a late word of an ended lease drops the lease that came after it

A transaction that names a lease which has ended is answered 400. `_commit_batch` then gave up the lease that the process held by that time, whichever it was; the lease loop may have been granted the next one already, and the member key rewritten.

Evidence: found by reading, while the places were followed that take in an answer.

Why this works: the lease is given up only if the refused transaction attached a key to it. The simulated controllers do the same.

--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -231,6 +231,14 @@
         member = roster.find_member(self.own_name) if roster else None
         return member if member and self.lease_id and member.lease_id == self.lease_id else None
 
+    def drop_ended_lease(self, ended: set[int]) -> None:
+        """Give up the own lease if it is among those that have ended, so that a new one is granted.
+
+        The response that says so may be late, and the own lease a newer one.
+        """
+        if self.lease_id in ended:
+            self.lease_id = 0
+
     def is_active(self) -> bool:
         """Return whether to decide: in the roster, lease valid, view recent enough."""
         return (
--- a/coursefold/service.py
+++ b/coursefold/service.py
@@ -499,7 +499,7 @@
                 queue.handle_success(batch, outcome.revision)
             elif outcome.is_malformed:
                 if outcome.is_lease_missing:
-                    self.core.ctx.lease_id = 0  # makes `_hold_lease` create a new one
+                    self.core.ctx.drop_ended_lease(batch.lease_ids())
                     queue.handle_lost_lease(batch)
                 else:
                     queue.handle_invalid(batch)
--- a/coursefold/storage/batches.py
+++ b/coursefold/storage/batches.py
@@ -40,6 +40,10 @@
     limits: StateServiceLimits
     jobs_before: dict[str, JobRecord | None]
 
+    def lease_ids(self) -> set[int]:
+        """Return the leases to which the transaction attaches keys."""
+        return {edit.lease_id for edit in self.edits if edit.lease_id is not None}
+
 
 class KeyChange(NamedTuple):
     """The changes that write one key's result.
--- a/tests/fleet_node.py
+++ b/tests/fleet_node.py
@@ -352,10 +352,11 @@
         elif status == 409:
             queue.handle_conflict(batch, body["failed"])
         elif is_lease_error:
-            ctx.lease_id = 0
             if self.version is OURS:
+                ctx.drop_ended_lease(batch.lease_ids())
                 queue.handle_lost_lease(batch)
             else:
+                ctx.lease_id = 0
                 queue.handle_invalid(batch)
         else:
             self.world.refused_transaction_count += 1
--- a/tests/test_rereading.py
+++ b/tests/test_rereading.py
@@ -78,6 +78,16 @@
         return response
 
 
+class NoSuchLease:
+    """A state service that refuses each transaction because its lease has ended."""
+
+    async def fetch(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Return the status and body of a response, as `HttpClient.fetch` does."""
+        return 400, encode({"error": "no such lease"})
+
+
 @pytest.mark.parametrize("key", list(RECORDS))
 def test_a_key_that_is_written_while_it_is_read_as_absent_is_kept(key: str) -> None:
     """Guards against a controller that joins without end (review/4).
@@ -122,6 +132,23 @@
     assert not view.jobs
 
 
+def test_a_late_word_of_an_ended_lease_does_not_drop_the_next_one() -> None:
+    """Guards against a controller that leaves and joins again because of a lease it had before."""
+
+    async def commit() -> Service:
+        service = Service(create_settings(0, find_free_ports(8)))
+        queue, ctx = service.core.queue, service.core.ctx
+        queue.propose(Edit(MEMBER_KEY, lambda _: MEMBER, lease_id=MEMBER.lease_id))
+        batch = queue.next_batch(MonotonicTime(1.0))
+        assert batch is not None
+        ctx.lease_id = MEMBER.lease_id + 1  # granted while the transaction was under way
+        service.state_client.client = NoSuchLease()  # type: ignore[assignment]
+        await service._commit_batch(batch)
+        return service
+
+    assert asyncio.run(commit()).core.ctx.lease_id == MEMBER.lease_id + 1
+
+
 class Delivery(NamedTuple):
     """Something that a controller is told late: how to take it, and as of which revision."""
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -244,7 +244,7 @@
         elif status == 409:
             queue.handle_conflict(batch, body["failed"])
         else:
-            self.core.ctx.lease_id = 0
+            self.core.ctx.drop_ended_lease(batch.lease_ids())
             queue.handle_lost_lease(batch)
         return True
 
