Fix: offers to other cells count what is being placed, and are counted

What callers could see: a team over its limit, by a job that is offered to another cell while the rest of the limit is being used at home.

Cause: the leader counts records and placements in flight; offers were checked against the records alone, and an offer that was being written was in neither count.

Why this works: both are checked against one count. An offer is in flight from its proposal until its edit is settled, and then in the record.

Tests of cells, their input, restarts and loopback, team use and limits, layers: passed.

--- a/coursefold/cells/home.py
+++ b/coursefold/cells/home.py
@@ -436,7 +436,7 @@
             why=choice.reason,
         )  # fmt: skip
         change = edits.offer_job(delegation, self.view.eligible_at(choice.name, job))
-        if self.port.change_job(choice.name, change, f"cell{epoch}"):
+        if self.port.offer_job(choice.name, change, f"cell{epoch}"):
             self.counts["offered"] += 1
             waits = (
                 f"expected wait here {choice.home_wait_s:.0f} s, there {choice.remote_wait_s:.0f} s"
--- a/coursefold/cells/port.py
+++ b/coursefold/cells/port.py
@@ -8,6 +8,7 @@
 from coursefold.coordination.core import Core
 from coursefold.coordination.placement import MachineOffering
 from coursefold.coordination.quota import QuotaTracker, fits_team_limit
+from coursefold.coordination.team_usage import count_team_usage
 from coursefold.protocol.ids import JobId, MonotonicTime
 from coursefold.protocol.wire import Job
 from coursefold.storage import records
@@ -57,8 +58,8 @@
         return self.ctx.is_leading() and self.view.format_level >= records.CELLS_LEVEL
 
     def new_quota_tracker(self) -> QuotaTracker:
-        """Return a tracker of the teams' limits and their present use."""
-        return QuotaTracker(self.ctx.settings.params.teams, self.view.team_usage)
+        """Return a tracker of the teams' limits and their use, what is being written included."""
+        return QuotaTracker(self.ctx.settings.params.teams, count_team_usage(self.ctx))
 
     def explain_team_refusal(self, spec: Job, task_count: int) -> str:
         """Return why this cell would not run the job for its team; empty if it would."""
@@ -145,6 +146,22 @@
         )
         return self.core.queue.propose(edit)
 
+    def offer_job(self, name: JobId, change: Change, tag: str) -> bool:
+        """Propose an offer of a job to another cell; False while the same offer is in flight.
+
+        Until its outcome is known the job's tasks count against its team's limit.
+        """
+
+        def end_count(ok: bool, why: str) -> None:
+            self.ctx.offers_in_flight.discard(name)
+
+        token = self.view.fencing_token
+        edit = Edit(job_key(name), change, fencing_token=token, tag=tag, on_settled=end_count)
+        if not self.core.queue.propose(edit):
+            return False
+        self.ctx.offers_in_flight.add(name)
+        return True
+
     def propose(self, edit: Edit) -> bool:
         """Propose an edit, for callers that need its outcome."""
         return self.core.queue.propose(edit)
--- a/coursefold/coordination/context.py
+++ b/coursefold/coordination/context.py
@@ -182,6 +182,7 @@
         peers: What the siblings' summaries say, by member.
         placements_in_flight: Tasks whose placement is being committed, by job and index, with
             their machine and job description.
+        offers_in_flight: Jobs of this cell whose offer to another cell is being committed.
         finished_runs: Class and run time in seconds of each task that has finished.
         peer_cancellations: Cancelled jobs that only siblings know of so far, with the revision
             of their cancellation.
@@ -209,6 +210,7 @@
         self.machines: dict[str, Machine] = {}
         self.peers: dict[str, PeerView] = {}
         self.placements_in_flight: dict[tuple[str, int], tuple[str, Job]] = {}
+        self.offers_in_flight: set[JobId] = set()
         self.finished_runs: list[tuple[str, float]] = []
         self.peer_cancellations: dict[JobId, int] = {}
         self.new_peer_cancellations: list[JobId] = []
--- a/coursefold/coordination/team_usage.py
+++ b/coursefold/coordination/team_usage.py
@@ -23,17 +23,22 @@
 
 
 def count_usage_in_flight(ctx: Context) -> dict[str, ResourceUsage]:
-    """Return by team what placements in flight use that the records do not show yet."""
+    """Return by team what placements and offers in flight use, unless the records show it."""
     totals: dict[str, ResourceUsage] = {}
     for (name, index), (_, spec) in ctx.placements_in_flight.items():
         job_id = JobId(name)
         if ctx.view.find_entry(job_id, index) is None and job_id in ctx.view.jobs:
             add_usage(totals, [(spec.team, usage_of_tasks(spec, 1))])
+    for job_id in ctx.offers_in_flight:
+        job = ctx.view.jobs.get(job_id)
+        if job is not None and not job.is_delegated:
+            unfinished = usage_of_tasks(job.spec, job.spec.task_count - job.done_count)
+            add_usage(totals, [(job.spec.team, unfinished)])
     return totals
 
 
 def count_team_usage(ctx: Context) -> dict[str, list[float]]:
-    """Return [CPUs, accelerators] by team: the records' entries and placements in flight."""
+    """Return [CPUs, accelerators] by team: by the records, and by what is being written."""
     totals = {team: list(usage) for team, usage in ctx.view.team_usage.items()}
     for team, usage in count_usage_in_flight(ctx).items():
         total = totals.setdefault(team, [0.0, 0.0])
--- a/tests/test_cells_input.py
+++ b/tests/test_cells_input.py
@@ -31,6 +31,7 @@
 from coursefold.cli import main
 from coursefold.coordination import jobs
 from coursefold.coordination.grants import GrantExpiry
+from coursefold.coordination.team_usage import count_team_usage
 from coursefold.histograms import decode_summary
 from coursefold.protocol import cell_pb2
 from coursefold.protocol.ids import JobId, MonotonicTime, WallTime
@@ -796,6 +797,26 @@
     assert cells.port.new_quota_tracker().usage_by_team["blue"][1] == job.spec.gpus
 
 
+def test_the_leader_counts_an_offer_that_is_being_written() -> None:
+    """Otherwise the rest of a team's limit is offered to another cell and used here too."""
+    cells = cells_of_leader()
+    core = cells.core
+    job = JobRecord(spec(Pieces=4), EPOCH)
+    core.view.store_record(records.job_key(JOB_NAME), job, 1)
+    delegation = Delegation("east", 1, DelegationStage.OFFERED, EPOCH)
+    assert cells.port.offer_job(JOB_NAME, edits.offer_job(delegation, EPOCH), "cell1")
+    assert not cells.port.offer_job(JOB_NAME, edits.offer_job(delegation, EPOCH), "cell1")
+    usage = [4 * job.spec.cpus, 4 * job.spec.gpus]
+    assert count_team_usage(core.ctx)["blue"] == usage
+    batch = core.queue.next_batch(core.ctx.now)
+    assert batch is not None
+    assert count_team_usage(core.ctx)["blue"] == usage
+    core.queue.handle_success(batch, 10**6)
+    assert core.view.jobs[JOB_NAME].is_delegated
+    assert count_team_usage(core.ctx)["blue"] == usage
+    assert not core.ctx.offers_in_flight
+
+
 def test_a_guest_is_no_prerequisite_of_other_jobs() -> None:
     view = View()
     view.store_record(records.job_key(JOB_NAME), guest_job(GuestStage.GRANTED), 1)
