Loads of machines, removals, and copies of commands in modules of their own

Change: `MachineLoad` is in `storage/machine_load.py`, the memory of removals in `storage/removals.py`, late copies of commands in `tests/fleet_copies.py`. No change of behaviour.

--- a/coursefold/coordination/placement.py
+++ b/coursefold/coordination/placement.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from coursefold.protocol.wire import Job, MachineType
-from coursefold.storage.view import EMPTY_LOAD, MachineLoad
+from coursefold.storage.machine_load import EMPTY_LOAD, MachineLoad
 
 RESOURCE_TOLERANCE = 1e-6  # CPUs, accelerators or GB; absorbs rounding errors of sums
 MAX_TASKS_PER_MACHINE = 1000  # about as many as a worker's report of 64 KiB can list
--- a/coursefold/storage/view.py
+++ b/coursefold/storage/view.py
@@ -12,9 +12,10 @@
 from msgspec import Struct
 
 from coursefold.protocol.ids import JobId, KeyVersion
-from coursefold.protocol.wire import PRIORITY_ORDER, Catalog, Job
+from coursefold.protocol.wire import Catalog
 from coursefold.storage import codec, record_parts, records
 from coursefold.storage.cell_records import CellLink
+from coursefold.storage.machine_load import EMPTY_LOAD, MachineLoad
 from coursefold.storage.prerequisites import PrerequisiteIndex
 from coursefold.storage.records import (
     Ending,
@@ -26,12 +27,12 @@
     Roster,
     TaskEntry,
 )
+from coursefold.storage.removals import RemovalVersions
 from coursefold.storage.share_records import MachineOwnership, MoveStage, ShareRequest
 
 log = logging.getLogger(__name__)
 
 MAX_ENDINGS = 20_000  # final states kept in memory; older ones are read on request
-MAX_REMOVALS = 20_000  # removals kept in memory; twice the changes that the state service keeps
 
 
 class VersionedRecord(NamedTuple):
@@ -41,49 +42,6 @@
     version: KeyVersion
 
 
-class MachineLoad:
-    """The resources that all entries on one machine take together.
-
-    Attributes:
-        specs: The jobs of the entries, one per entry.
-        cpus: Sum of the CPUs.
-        gpus: Sum of the accelerators.
-        memory_gb: Sum of the memory.
-        images_gb: The size of each image, by its name.
-        lowest_priority: The lowest of the jobs' priorities as the highest number in
-            PRIORITY_ORDER; -1 without entries.
-        replica_usage: CPUs, accelerators and memory (GB) of replicas of standing jobs.
-    """
-
-    __slots__ = (
-        "cpus",
-        "gpus",
-        "images_gb",
-        "lowest_priority",
-        "memory_gb",
-        "replica_usage",
-        "specs",
-    )
-
-    def __init__(self, specs: list[Job]) -> None:
-        self.specs = specs
-        self.cpus = sum(spec.cpus for spec in specs)
-        self.gpus = sum(spec.gpus for spec in specs)
-        self.memory_gb = sum(spec.memory_gb for spec in specs)
-        self.images_gb = {spec.image: spec.image_gb for spec in specs}
-        self.lowest_priority = max((PRIORITY_ORDER[spec.priority] for spec in specs), default=-1)
-        # Replicas run until their user cancels the job.
-        replicas = [spec for spec in specs if spec.kind == "standing"]
-        self.replica_usage = (
-            sum(spec.cpus for spec in replicas),
-            sum(spec.gpus for spec in replicas),
-            sum(spec.memory_gb for spec in replicas),
-        )
-
-
-EMPTY_LOAD = MachineLoad([])
-
-
 class View:
     """Records by key, with indices for jobs, members, pools, cells and machine ownership.
 
@@ -94,8 +52,7 @@
         jobs: Live jobs, and cancelled ones that still have tasks.
         members: Live controllers by name.
         pools: Pools by the last part of their key.
-        removal_versions: Per removed key, the revision of its removal, or a later one at which
-            it was read as absent.
+        removals: When keys were removed.
         endings: Final states of ended jobs, the most recent ones.
         endings_to_archive: Ended jobs whose final record still has its live key.
         is_loaded: Whether a full listing has been read.
@@ -129,7 +86,7 @@
         self.jobs: dict[JobId, JobRecord] = {}
         self.members: dict[str, MemberRecord] = {}
         self.pools: dict[str, PoolRecord] = {}
-        self.removal_versions: dict[str, int] = {}
+        self.removals = RemovalVersions()
         self.endings: dict[JobId, Ending] = {}
         self.endings_to_archive: dict[JobId, None] = {}
         self.is_loaded = False
@@ -176,7 +133,7 @@
         if known is not None:
             return version > known.version
         # All changes up to `revision` have been applied, so a key without a record had none then.
-        return version > max(self.revision, self.removal_versions.get(key, 0))
+        return version > max(self.revision, self.removals.version_of(key))
 
     def apply_value(self, key: str, value: Any, version: int) -> bool:
         """Apply a key's value as it was read from the state service.
@@ -513,7 +470,7 @@
         self.part_counts.pop(key, None)
         if key in self._pending_heads and self._pending_heads[key][1] <= version:
             del self._pending_heads[key]
-        self._remember_removal(key, version)
+        self.removals.remember(key, version)
         known = self.records_by_key.pop(key, None)
         self.endings_to_archive.pop(JobId(key.removeprefix(records.JOB_PREFIX)), None)
         if known is None:
@@ -521,15 +478,6 @@
         self._unindex_record(key, known.record)
         return True
 
-    def _remember_removal(self, key: str, version: int) -> None:
-        """Keep the removal's version: an older write of the key that arrives later is ignored."""
-        self.removal_versions[key] = max(version, self.removal_versions.get(key, 0))
-        if len(self.removal_versions) > MAX_REMOVALS:
-            for oldest in sorted(self.removal_versions, key=self.removal_versions.__getitem__)[
-                : MAX_REMOVALS // 2
-            ]:
-                del self.removal_versions[oldest]
-
     def _unindex_record(self, key: str, record: Struct) -> None:
         """Remove a record from the indices."""
         if isinstance(record, JobRecord):
@@ -560,7 +508,7 @@
 
     def last_change_version(self, key: str) -> int:
         """Return the revision of the key's last known change, removals included."""
-        return max(self.version_of(key), self.removal_versions.get(key, 0))
+        return max(self.version_of(key), self.removals.version_of(key))
 
     def load_of(self, machine: str) -> MachineLoad:
         """Return the load of a machine; it is computed again only after a change."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,10 +7,8 @@
 
 import heapq
 import random
-from collections import Counter
 from collections.abc import Callable
-from enum import Enum
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 
@@ -18,6 +16,7 @@
 from coursefold.coordination.effects import CloudCall, Response, SendCommands
 from coursefold.protocol.wire import Command, encode
 from coursefold.storage import records
+from tests.fleet_copies import CommandCopies
 from tests.fleet_jobs import RuleBrokenError, Task, UserJob
 from tests.fleet_limits import TeamLimits, TeamUse
 from tests.fleet_node import ZONES, Node
@@ -30,29 +29,10 @@
 __all__ = ["NODES", "ZONES", "Fleet", "Node", "RuleBrokenError", "Task", "UserJob", "Worker"]
 
 BOOT_S = 12.0
-COPY_DELAYS_S = (0.5, 3.0, 9.0, 25.0, 60.0)  # of late copies of commands
 LIST_LAG_S = 3.0
 NODES = 5
 
 
-class CopiedCommand(NamedTuple):
-    """A kind of command in late copies: its way to the worker, and whether it was executed."""
-
-    way: str  # "direct", or "response" to a report
-    verb: str
-    is_executed: bool
-
-
-class ChangeBeforeCopy(Enum):
-    """What may have changed before the copy of a start command reaches the worker."""
-
-    CANCELLED = "the job was cancelled"
-    MOVED = "the task is on another machine"
-    FORGOTTEN = "the worker knows the attempt no more"
-    NEW_SESSION = "the worker is in another session"
-    NEW_TOKEN = "the machine has another owner, or the roster was changed"
-
-
 class Fleet:
     """A simulated cluster with one clock.
 
@@ -76,12 +56,7 @@
         duplicate_share: Share of workers' reports of which a late copy is delivered.
         kept_share: Share of workers' reports that are added to `kept_reports`.
         kept_reports: Copies of reports, delivered later by `deliver_kept_reports`.
-        command_copy_share: Share of the messages with commands for workers, in responses to
-            reports or direct, of which copies arrive up to minutes later.
-        slow_response_share: Share of the responses to reports that take up to 3.9 s.
-        copy_rng: Draws these copies and delays.
-        copied_commands: The commands in copies that reached a worker.
-        copied_starts: What had changed before copies of start commands reached a worker.
+        copies: Late responses to reports, and late copies of commands for workers.
         cancel_at_end_share: Share of ending tasks whose job is cancelled at that moment.
         quick_boot_share: Share of machines that boot_s within 2 s.
         request_sent_at: When the request was sent whose response is being handled.
@@ -127,10 +102,7 @@
         self.slow_read_share, self.slow_read_s = 0.0, 1.4
         self.kept_share = self.cancel_at_end_share = self.quick_boot_share = 0.0
         self.kept_reports: list[bytes] = []
-        self.command_copy_share = self.slow_response_share = 0.0
-        self.copy_rng = random.Random(f"copies of {seed}")
-        self.copied_commands: Counter[CopiedCommand] = Counter()
-        self.copied_starts: Counter[ChangeBeforeCopy] = Counter()
+        self.copies = CommandCopies(self, seed)
         self.request_sent_at = 0.0
         self.rechecks_answers = False
         self.rechecked_count = self.cancelled_at_end_count = self.rejected_job_count = 0
@@ -264,7 +236,7 @@
         for _ in range(self.rng.choice([1, 1, 1, 2])):
             delay_s = self.rng.choice([0.005, 0.005, 0.005, 6.0])
             self.after(delay_s, lambda: self.receive_commands(node, commands))
-        self.maybe_copy_commands(lambda: self.receive_commands(node, commands, is_copy=True))
+        self.copies.maybe_deliver(lambda: self.receive_commands(node, commands, is_copy=True))
 
     def receive_commands(self, node: Node, commands: SendCommands, is_copy: bool = False) -> None:
         """Let a worker receive commands at its own address, from this controller."""
@@ -282,49 +254,15 @@
         worker.expire_lease()
         matches = commands.token >= worker.token and commands.session == worker.session
         if is_copy:
-            self.count_copies("direct", worker, commands, matches)
+            self.copies.count("direct", worker, commands, matches)
         if matches:
             worker.token = max(worker.token, commands.token)
             worker.sequence += 1
             worker.execute(commands.commands, is_copy)
 
-    def response_delay_s(self) -> float:
-        """Draw by how much the response to a report is late; the worker waits for it for 4 s."""
-        if self.slow_response_share and self.copy_rng.random() < self.slow_response_share:
-            return self.copy_rng.uniform(0.5, 3.9)
-        return 0.0
-
     def copy_response(self, worker: Worker, answer: Response, deliver: Callable[[], None]) -> None:
         """Deliver late copies of some responses to reports; no report awaits them any more."""
-        self.maybe_copy_commands(deliver)
-
-    def maybe_copy_commands(self, deliver: Callable[[], None]) -> None:
-        """Deliver late copies of a share of the messages with commands for workers."""
-        if self.copy_rng.random() < self.command_copy_share:
-            for delay_s in self.copy_rng.sample(COPY_DELAYS_S, 2):
-                self.after(delay_s * self.copy_rng.uniform(0.8, 1.5), deliver)
-
-    def count_copies(self, way: str, worker: Worker, sent: SendCommands, is_executed: bool) -> None:
-        """Count the commands in a late copy that has reached a worker."""
-        for command in sent.commands:
-            self.copied_commands[CopiedCommand(way, command.verb, is_executed)] += 1
-            if command.verb == "run":
-                self.copied_starts.update(self._list_changes(worker, sent, command))
-
-    def _list_changes(
-        self, worker: Worker, sent: SendCommands, command: Command
-    ) -> list[ChangeBeforeCopy]:
-        """Return what has changed since a start command was sent."""
-        elsewhere = self.placed_tasks.get(command.task, (worker, None))[0] is not worker
-        is_known = (command.task, command.attempt) in worker.tasks
-        changes = {
-            ChangeBeforeCopy.CANCELLED: self.jobs[command.task.split("/")[0]].cancelled_at >= 0,
-            ChangeBeforeCopy.MOVED: elsewhere,
-            ChangeBeforeCopy.FORGOTTEN: not is_known and worker.session == sent.session,
-            ChangeBeforeCopy.NEW_SESSION: worker.session != sent.session,
-            ChangeBeforeCopy.NEW_TOKEN: worker.token > sent.token,
-        }
-        return [change for change, has_happened in changes.items() if has_happened]
+        self.copies.maybe_deliver(deliver)
 
     # Cloud
 
--- a/tests/fleet_worker.py
+++ b/tests/fleet_worker.py
@@ -75,7 +75,7 @@
             if is_copy and answer is not None:
                 token, commands = answer.body["Baton"], answer.body["Orders"]
                 sent = SendCommands(self.id, token, session, commands)
-                world.count_copies("response", self, sent, is_awaited)
+                world.copies.count("response", self, sent, is_awaited)
             if not is_awaited:
                 return
             if not self.defer_while_hung(lambda: on_response(answer, is_copy)):
@@ -84,7 +84,7 @@
                 self._handle_answer(answer, sent_at)
 
         def on_arrival(answer: Response | None) -> None:
-            delay_s = world.response_delay_s()
+            delay_s = world.copies.response_delay_s()
             if delay_s:
                 world.after(delay_s, lambda: on_response(answer))
             else:
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -12,7 +12,8 @@
 import pytest
 
 from coursefold.coordination.effects import Response, SendCommands
-from tests.fleet import ChangeBeforeCopy, Fleet, RuleBrokenError, Worker
+from tests.fleet import Fleet, RuleBrokenError, Worker
+from tests.fleet_copies import ChangeBeforeCopy
 from tests.shares_world import SharesFleet
 from tests.test_fleet import (
     check_no_job_lost,
@@ -74,7 +75,7 @@
 def run_with_copies(fleet: SharesFleet) -> None:
     """Run jobs, cancellations, moves and faults while commands are copied, then check all jobs."""
     fleet.lost_commits, fleet.duplicate_share = 0.02, 0.1
-    fleet.command_copy_share, fleet.slow_response_share = 0.7, 0.1
+    fleet.copies.share, fleet.copies.slow_response_share = 0.7, 0.1
     submit_jobs(fleet, JOB_COUNT)
     for fault in FAULTS:
         for _ in range(2):
@@ -82,8 +83,8 @@
     fleet.after(12.0, partial(request_random_moves, fleet, 68.0))
     fleet.after(20.0, partial(cancel_running_jobs, fleet))
     fleet.after(70.0, partial(end_faults, fleet))
-    fleet.after(70.0, lambda: setattr(fleet, "slow_response_share", 0.0))
-    fleet.after(COPIES_END_AT_S, lambda: setattr(fleet, "command_copy_share", 0.0))
+    fleet.after(70.0, lambda: setattr(fleet.copies, "slow_response_share", 0.0))
+    fleet.after(COPIES_END_AT_S, lambda: setattr(fleet.copies, "share", 0.0))
     fleet.run(RUN_END_AT_S)
     check_no_job_lost(fleet)
 
@@ -93,13 +94,13 @@
     """Guards against a task on two machines, and a cancelled one that runs again."""
     fleet = SharesFleet(seed, MACHINE_COUNT, moves=FAST_MOVES | {"limit_s": 40.0})
     run_with_copies(fleet)
-    copies = fleet.copied_commands
+    copies = fleet.copies.commands
     executed = {(copy.way, copy.verb) for copy in copies if copy.is_executed}
     dropped = {(copy.way, copy.verb) for copy in copies if not copy.is_executed}
     assert executed == {("direct", "stop")}  # late stops name their attempt
     assert {("response", "run"), ("response", "stop"), ("response", "forget")} <= dropped
     assert ("direct", "stop") in dropped  # another session or token
-    assert set(fleet.copied_starts) == set(ChangeBeforeCopy)  # each has happened in between
+    assert set(fleet.copies.changes) == set(ChangeBeforeCopy)  # each has happened in between
     assert sum(fleet.handovers.values()) > 10
 
 
@@ -111,7 +112,7 @@
         node = self.nodes[worker.node]
         token, commands = answer.body["Baton"], answer.body["Orders"]
         direct = SendCommands(worker.id, token, worker.session, commands)
-        self.maybe_copy_commands(lambda: self.receive_commands(node, direct, is_copy=True))
+        self.copies.maybe_deliver(lambda: self.receive_commands(node, direct, is_copy=True))
 
 
 @pytest.mark.parametrize(
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -19,8 +19,8 @@
 from coursefold.protocol.wire import Catalog, Job, MachineType, decode, encode
 from coursefold.storage import codec, records
 from coursefold.storage.edits import Edit, NotApplicableError
+from coursefold.storage.machine_load import MachineLoad
 from coursefold.storage.records import Ending, JobRecord, TaskEntry
-from coursefold.storage.view import MachineLoad
 from tests.world import EPOCH, JOB, World
 
 RUNNING, EXITED = {"Status": "running"}, {"Status": "exited", "Cause": "done"}
